Set down the shape: folders, core types, supervisor tree

Cause: the users ask for a supervisor tree of tasks that own their state and talk by messages, with decisions kept apart from the encoding. Change: src layout, core data classes, typed refusals and errors, numbered events, supervisors with restart intensity and ordered stop, bounded mailboxes, first pure decisions, the developers' page.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Two commands are meant for newcomers: `make demo` and `make test`.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.venv/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $@
+
+.PHONY: test check format check-shape pytest demo bench capacity soak
+test: check pytest
+
+check: .venv/.installed
+	$(BIN)/ruff format --check src testing bench
+	$(BIN)/ruff check src testing bench
+	$(BIN)/mypy
+
+format: .venv/.installed
+	$(BIN)/ruff check --fix src testing bench
+	$(BIN)/ruff format src testing bench
+
+pytest: .venv/.installed
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/src/_masticspoke/events.py
@@ -0,0 +1,48 @@
+"""Numbered log events; ``docs/EVENTS.md`` says what to do about each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import final
+
+from loguru import logger
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EventSpec:
+    """Number, level and text of an event."""
+
+    number: int
+    level: str
+    text: str
+
+
+@final
+class Event(Enum):
+    """All events that a node or tool logs."""
+
+    NODE_STARTED = EventSpec(1001, "INFO", "node started")
+    NODE_STOPPING = EventSpec(1002, "INFO", "node is stopping")
+    NODE_STOPPED = EventSpec(1003, "INFO", "node stopped")
+    CHILD_CRASHED = EventSpec(1101, "ERROR", "task crashed and is restarted")
+    MAILBOX_FULL = EventSpec(1102, "WARNING", "mailbox full, message refused")
+    REQUESTS_CUT = EventSpec(1201, "WARNING", "requests cut at the stop time limit")
+    CATALOGUE_IN_FORCE = EventSpec(2001, "INFO", "catalogue version in force")
+    CATALOGUE_REJECTED = EventSpec(2002, "WARNING", "catalogue change not accepted")
+    LOG_UNAVAILABLE = EventSpec(2101, "WARNING", "log service does not answer")
+    LOG_AVAILABLE = EventSpec(2102, "INFO", "log service answers again")
+    BACKEND_ANNOUNCED = EventSpec(3001, "INFO", "backend server announced itself")
+    BACKEND_LEAVING = EventSpec(3002, "INFO", "backend server is leaving")
+    BACKEND_LAPSED = EventSpec(3003, "WARNING", "backend server stopped renewing")
+    ANNOUNCEMENT_REFUSED = EventSpec(3004, "WARNING", "announcement refused")
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Log an event with its number and fields."""
+    spec = event.value
+    details = " ".join(f"{name}={value}" for name, value in fields.items())
+    logger.bind(event=spec.number, **fields).log(
+        spec.level, "E{} {} {}", spec.number, spec.text, details
+    )
--- /dev/null
+++ b/src/_masticspoke/supervise/mailbox.py
@@ -0,0 +1,102 @@
+"""Bounded mailboxes, and replies to questions asked through them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from enum import Enum
+from typing import final
+from typing import Generic
+from typing import TypeVar
+
+M = TypeVar("M")
+T = TypeVar("T")
+
+
+@final
+class Delivery(Enum):
+    """What became of a message."""
+
+    ACCEPTED = "accepted"
+    FULL = "full"
+
+
+@final
+class Mailbox(Generic[M]):
+    """Bounded queue with one receiving task.
+
+    :param capacity: messages that may wait; one more is answered ``FULL``.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._waiting: deque[M] = deque()
+        self._receiver: asyncio.Future[None] | None = None
+
+    @property
+    def depth(self) -> int:
+        """Messages that wait."""
+        return len(self._waiting)
+
+    def tell(self, message: M) -> Delivery:
+        """Leave a message without waiting."""
+        if len(self._waiting) >= self._capacity:
+            return Delivery.FULL
+        self._waiting.append(message)
+        receiver = self._receiver
+        if receiver is not None and not receiver.done():
+            receiver.set_result(None)
+        return Delivery.ACCEPTED
+
+    async def receive(self, timeout_s: float | None = None) -> list[M]:
+        """Take all that waits; wait for a first message if there is none.
+
+        :param timeout_s: return an empty list after that many seconds.
+        """
+        if not self._waiting:
+            await self._wait(timeout_s)
+        batch = list(self._waiting)
+        self._waiting.clear()
+        return batch
+
+    async def _wait(self, timeout_s: float | None) -> None:
+        loop = asyncio.get_running_loop()
+        receiver = self._receiver = loop.create_future()
+        timer = None
+        if timeout_s is not None:
+            timer = loop.call_later(max(0.0, timeout_s), _wake, receiver)
+        try:
+            await receiver
+        finally:
+            self._receiver = None
+            if timer is not None:
+                timer.cancel()
+
+
+@final
+class Reply(Generic[T]):
+    """The answer to one question; the asking task waits for it."""
+
+    __slots__ = ("_future",)
+
+    def __init__(self) -> None:
+        self._future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
+
+    @property
+    def abandoned(self) -> bool:
+        """Whether the asking task no longer waits."""
+        return self._future.cancelled()
+
+    def answer(self, value: T) -> None:
+        """Give the answer; a second one is ignored."""
+        if not self._future.done():
+            self._future.set_result(value)
+
+    async def value(self) -> T:
+        """Wait for the answer."""
+        return await self._future
+
+
+def _wake(receiver: asyncio.Future[None]) -> None:
+    if not receiver.done():
+        receiver.set_result(None)
--- /dev/null
+++ b/src/_masticspoke/supervise/server.py
@@ -0,0 +1,41 @@
+"""The loop of a task that owns state and is reached through its mailbox."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import TypeVar
+
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.supervisor import Clock
+
+S = TypeVar("S")
+M = TypeVar("M")
+Handlers = Mapping[type[Any], Callable[[S, Any, float], None]]
+
+
+async def serve(
+    inbox: Mailbox[M],
+    state: S,
+    handlers: Handlers[S],
+    clock: Clock,
+    life: Lifecycle,
+    *,
+    tick_s: float | None = None,
+    on_tick: Callable[[S, float], None] | None = None,
+) -> None:
+    """Handle each message by its type, with the present time, until cancelled.
+
+    :param state: what the task owns; handlers change it.
+    :param handlers: the handler of each message type.
+    :param tick_s: call ``on_tick`` when no message came for that many seconds,
+        and after each batch.
+    """
+    life.mark_started()
+    while True:
+        for message in await inbox.receive(tick_s):
+            handlers[type(message)](state, message, clock())
+        if on_tick is not None:
+            on_tick(state, clock())
