--- /dev/null
+++ b/src/_masticspoke/border/headers.py
@@ -0,0 +1,217 @@
+"""Headers between clients, nodes and backend servers."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import final
+
+from multidict import CIMultiDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from _masticspoke.border.fields import BorderModel
+from _masticspoke.model import Call
+from _masticspoke.model import LoadReport
+from _masticspoke.model import RequestShape
+from _masticspoke.model import Trace
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+
+CALL_HEADER = "Masticspoke-Call"
+REPORT_HEADER = "Masticspoke-Report"
+DEADLINE_HEADER = "Masticspoke-Deadline-Ms"
+REFUSED_HEADER = "Masticspoke-Refused"
+KEY_HEADER = "Idempotency-Key"
+TRACE_HEADER = "traceparent"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    }
+)
+_OWN = frozenset(
+    name.lower()
+    for name in (
+        CALL_HEADER,
+        REPORT_HEADER,
+        REFUSED_HEADER,
+        DEADLINE_HEADER,
+        TRACE_HEADER,
+    )
+)
+_DROPPED = HOP_BY_HOP | _OWN
+_MAX_DEADLINE_MS = 24 * 3_600_000
+_MAX_KEY_LENGTH = 255
+_TRACE = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}")
+
+
+@final
+class CallModel(BorderModel):
+    """A call on its way to another node; the deadline is a remaining time."""
+
+    action: str = Field(alias="a", max_length=64)
+    kind: str = Field(alias="k", max_length=128)
+    service: str = Field(alias="s", max_length=128)
+    rank: int = Field(alias="r", ge=0, le=1_000)
+    remaining_ms: int = Field(alias="d", ge=0, le=_MAX_DEADLINE_MS)
+    idempotent: bool = Field(alias="i")
+    shed_last: bool = Field(alias="l", default=False)
+    depth: int = Field(alias="h", default=0, ge=0, le=1_000)
+    attempt: int = Field(alias="n", default=0, ge=0, le=1_000)
+    allowance: int = Field(alias="w", default=0, ge=0, le=1_000)
+    key: str | None = Field(alias="y", default=None, max_length=_MAX_KEY_LENGTH)
+    catalogue_version: int = Field(alias="v", default=0, ge=0)
+
+
+@final
+class ReportModel(BorderModel):
+    """A guard's load, on its way to a caller."""
+
+    in_flight: int = Field(alias="f", ge=0)
+    limit: int = Field(alias="m", ge=0)
+    latency_us: int = Field(alias="t", ge=0)
+    admitted_rank: int = Field(alias="r", ge=-1)
+    allowance_left: int = Field(alias="w", default=0, ge=0)
+    catalogue_version: int = Field(alias="v", default=0, ge=0)
+    leaving: bool = Field(alias="x", default=False)
+
+
+def encode_call(call: Call, now: float) -> str:
+    """Return the value of :data:`CALL_HEADER`."""
+    return CallModel.model_construct(
+        action=call.action,
+        kind=call.kind,
+        service=call.service,
+        rank=call.rank,
+        remaining_ms=max(0, int((call.deadline - now) * 1000)),
+        idempotent=call.idempotent,
+        shed_last=call.shed_last,
+        depth=call.depth,
+        attempt=call.attempt,
+        allowance=call.allowance,
+        key=call.key,
+        catalogue_version=call.catalogue_version,
+    ).model_dump_json(by_alias=True)
+
+
+def decode_call(value: str | None, now: float) -> Call | Refusal:
+    """Return the call that a peer sent, or a refusal if it is malformed."""
+    if value is None:
+        return Refusal(Reason.MALFORMED, detail=f"{CALL_HEADER} is missing")
+    try:
+        m = CallModel.model_validate_json(value)
+    except ValidationError as error:
+        return Refusal(
+            Reason.MALFORMED,
+            detail=f"{CALL_HEADER}: {error.error_count()} faults",
+        )
+    return Call(
+        action=m.action,
+        kind=m.kind,
+        service=m.service,
+        rank=m.rank,
+        deadline=now + m.remaining_ms / 1000,
+        idempotent=m.idempotent,
+        shed_last=m.shed_last,
+        depth=m.depth,
+        attempt=m.attempt,
+        allowance=m.allowance,
+        key=m.key,
+        catalogue_version=m.catalogue_version,
+    )
+
+
+def encode_report(report: LoadReport) -> str:
+    """Return the value of :data:`REPORT_HEADER`."""
+    return ReportModel.model_construct(
+        in_flight=report.in_flight,
+        limit=report.limit,
+        latency_us=int(report.latency_s * 1e6),
+        admitted_rank=report.admitted_rank,
+        allowance_left=report.allowance_left,
+        catalogue_version=report.catalogue_version,
+        leaving=report.leaving,
+    ).model_dump_json(by_alias=True)
+
+
+def decode_report(value: str | None) -> LoadReport | None:
+    """Return a guard's load, or ``None`` if the header is missing or malformed."""
+    if value is None:
+        return None
+    try:
+        m = ReportModel.model_validate_json(value)
+    except ValidationError:
+        return None
+    return LoadReport(
+        in_flight=m.in_flight,
+        limit=m.limit,
+        latency_s=m.latency_us / 1e6,
+        admitted_rank=m.admitted_rank,
+        allowance_left=m.allowance_left,
+        catalogue_version=m.catalogue_version,
+        leaving=m.leaving,
+    )
+
+
+def decode_traceparent(value: str | None) -> Trace | None:
+    """Return the parts of a ``traceparent``, or ``None`` if it is not valid."""
+    match = _TRACE.fullmatch(value) if value else None
+    return Trace(match[1], match[2]) if match else None
+
+
+def encode_traceparent(trace: Trace) -> str:
+    """Return the header's value."""
+    return f"00-{trace.trace_id}-{trace.parent_id}-01"
+
+
+def request_shape(
+    method: str, path: str, headers: Mapping[str, str], *, from_backend: bool
+) -> RequestShape | Refusal:
+    """Return what classification reads of a request, or why it is malformed."""
+    deadline = headers.get(DEADLINE_HEADER)
+    if deadline is not None and not _is_deadline(deadline):
+        return Refusal(
+            Reason.MALFORMED,
+            detail=f"{DEADLINE_HEADER} must be 1 to {_MAX_DEADLINE_MS} milliseconds",
+        )
+    key = headers.get(KEY_HEADER)
+    if key is not None and not 0 < len(key) <= _MAX_KEY_LENGTH:
+        return Refusal(
+            Reason.MALFORMED,
+            detail=f"{KEY_HEADER} must have 1 to {_MAX_KEY_LENGTH} characters",
+        )
+    return RequestShape(
+        method=method,
+        path=path,
+        key=key,
+        deadline_ms=int(deadline) if deadline is not None else None,
+        trace=decode_traceparent(headers.get(TRACE_HEADER)),
+        from_backend=from_backend,
+    )
+
+
+def _is_deadline(value: str) -> bool:
+    return (
+        value.isascii()
+        and value.isdigit()
+        and len(value) < 12
+        and 0 < int(value) <= _MAX_DEADLINE_MS
+    )
+
+
+def forwarded(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers that go on to the next process, repeated ones included."""
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in _DROPPED
+    )
--- /dev/null
+++ b/src/_masticspoke/entry/announcements.py
@@ -0,0 +1,71 @@
+"""The own backend server's announcements, on the loopback address."""
+
+from __future__ import annotations
+
+from aiohttp import web
+from pydantic import ValidationError
+
+from _masticspoke.border.announcement import decode_announcement
+from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.entry.listener import Handler
+from _masticspoke.entry.peers import CONTROL_PREFIX
+from _masticspoke.entry.peers import ControlHandlers
+from _masticspoke.entry.peers import route_control
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
+from _masticspoke.exchange import refusal_response
+from _masticspoke.messages import BackendAnnounced
+from _masticspoke.messages import BackendLeaving
+from _masticspoke.model import Address
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.mailbox import Delivery
+from _masticspoke.supervise.mailbox import Mailbox
+
+_PATH = f"{CONTROL_PREFIX}backend"
+_MAX_BYTES = 65_536
+
+
+def backend_handler(
+    keeper: Mailbox[KeeperMessage],
+    node: Address,
+    zone: str,
+    incarnation: str,
+    calls: Handler,
+) -> Handler:
+    """Return the handler of the backend address.
+
+    :param calls: handler of the backend server's outgoing calls.
+    """
+
+    async def announce(request: web.BaseRequest) -> web.StreamResponse:
+        if (request.content_length or 0) > _MAX_BYTES:
+            return _refuse(f"announcement longer than {_MAX_BYTES} bytes")
+        try:
+            found = decode_announcement(await request.read(), node, zone, incarnation)
+        except ValidationError as error:
+            return _refuse(f"{error.error_count()} faults in the announcement")
+        return _told(keeper.tell(BackendAnnounced(found.member, found.ttl_s)))
+
+    async def leave(request: web.BaseRequest) -> web.StreamResponse:
+        return _told(keeper.tell(BackendLeaving()))
+
+    control: ControlHandlers = {("PUT", _PATH): announce, ("DELETE", _PATH): leave}
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path.startswith(CONTROL_PREFIX):
+            return await route_control(request, control)
+        return await calls(request)
+
+    return handle
+
+
+def _refuse(detail: str) -> web.Response:
+    log_event(Event.ANNOUNCEMENT_REFUSED, detail=detail)
+    return refusal_response(Refusal(Reason.MALFORMED, detail=detail))
+
+
+def _told(delivery: Delivery) -> web.Response:
+    if delivery is Delivery.FULL:
+        return refusal_response(Refusal(Reason.BUSY))
+    return web.Response(status=204)
--- /dev/null
+++ b/src/_masticspoke/entry/peers.py
@@ -0,0 +1,71 @@
+"""Calls that other nodes send to this node's guard, and control requests."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import aiohttp
+from aiohttp import web
+
+from _masticspoke.border.headers import CALL_HEADER
+from _masticspoke.border.headers import decode_call
+from _masticspoke.border.headers import encode_report
+from _masticspoke.border.headers import REPORT_HEADER
+from _masticspoke.entry.listener import Handler
+from _masticspoke.exchange import outgoing
+from _masticspoke.exchange import refusal_response
+from _masticspoke.exchange import relay
+from _masticspoke.guard.run import GuardPort
+from _masticspoke.guard.run import run_call
+from _masticspoke.messages import NotAdmitted
+from _masticspoke.model import LoadReport
+from _masticspoke.refusals import Refusal
+
+CONTROL_PREFIX = "/.masticspoke/"
+ControlHandlers = Mapping[
+    tuple[str, str], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+]
+
+
+def peer_handler(
+    port: GuardPort, buffer_bytes: int, control: ControlHandlers
+) -> Handler:
+    """Return the handler of the peer port.
+
+    :param control: handlers of control requests, by method and path.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path.startswith(CONTROL_PREFIX):
+            return await route_control(request, control)
+        call = decode_call(request.headers.get(CALL_HEADER), time.monotonic())
+        if isinstance(call, Refusal):
+            return refusal_response(call)
+        sent = await outgoing(request, buffer_bytes)
+
+        async def deliver(
+            upstream: aiohttp.ClientResponse, report: LoadReport
+        ) -> web.StreamResponse:
+            return await relay(
+                request, upstream, {REPORT_HEADER: encode_report(report)}
+            )
+
+        answer = await run_call(port, call, sent, deliver)
+        if isinstance(answer, NotAdmitted):
+            return refusal_response(answer.refusal, answer.report)
+        return answer
+
+    return handle
+
+
+async def route_control(
+    request: web.BaseRequest, control: ControlHandlers
+) -> web.StreamResponse:
+    """Answer a control request; 404 if there is no such one."""
+    handler = control.get((request.method, request.path))
+    if handler is None:
+        return web.Response(status=404, text="no such control request\n")
+    return await handler(request)
--- /dev/null
+++ b/src/_masticspoke/node.py
@@ -0,0 +1,216 @@
+"""The node: builds the supervisor tree and runs it until a stop signal."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+import time
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+import aiomisc
+from aiohttp import web
+
+from _masticspoke.border.records import CATALOGUE_STREAM
+from _masticspoke.border.records import MEMBERS_STREAM
+from _masticspoke.border.settings import Settings
+from _masticspoke.border.status import encode_status
+from _masticspoke.connections import connection_owner
+from _masticspoke.control.keeper import keeper
+from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.log_reader import log_reader
+from _masticspoke.control.log_writer import log_writer
+from _masticspoke.control.log_writer import WriterMessage
+from _masticspoke.dispatch.conduct import DispatchPort
+from _masticspoke.dispatch.router import router
+from _masticspoke.dispatch.router import RouterMessage
+from _masticspoke.entry.announcements import backend_handler
+from _masticspoke.entry.clients import client_handler
+from _masticspoke.entry.listener import Handler
+from _masticspoke.entry.listener import listener
+from _masticspoke.entry.peers import ControlHandlers
+from _masticspoke.entry.peers import peer_handler
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
+from _masticspoke.exchange import Connections
+from _masticspoke.guard.gate import gate
+from _masticspoke.guard.gate import GateMessage
+from _masticspoke.guard.run import GuardPort
+from _masticspoke.messages import AskStatus
+from _masticspoke.messages import BackendAnnounced
+from _masticspoke.messages import BackendLeaving
+from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import MembersChanged
+from _masticspoke.model import Address
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.supervisor import ChildSpec
+from _masticspoke.supervise.supervisor import supervisor
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class _Parts:
+    """Mailboxes and connections that outlive a restart of their owners."""
+
+    settings: Settings
+    incarnation: str
+    router: Mailbox[RouterMessage]
+    gate: Mailbox[GateMessage]
+    keeper: Mailbox[KeeperMessage]
+    writer: Mailbox[WriterMessage]
+    to_log: Connections
+    to_nodes: Connections
+    to_backend: Connections
+
+
+def node_tree(settings: Settings) -> ChildBody:
+    """Return the node's root supervisor; its branches are the package's folders."""
+    parts = _parts(settings)
+    branches = (
+        ChildSpec("control", _control(parts), stop_timeout_s=5.0),
+        ChildSpec("dispatch", _dispatch(parts), stop_timeout_s=5.0),
+        ChildSpec("guard", _guard(parts), stop_timeout_s=5.0),
+        ChildSpec(
+            "entry", _entry(parts), stop_timeout_s=3 * settings.node.stop_timeout_s
+        ),
+    )
+    tree = supervisor("node", branches, time.monotonic)
+
+    async def run(life: Lifecycle) -> None:
+        try:
+            await tree(life)
+        finally:
+            log_event(Event.NODE_STOPPED, node=settings.node.name)
+
+    return run
+
+
+def _parts(settings: Settings) -> _Parts:
+    capacity = settings.limits.mailbox_messages
+    return _Parts(
+        settings=settings,
+        incarnation=secrets.token_hex(8),
+        router=Mailbox(capacity),
+        gate=Mailbox(capacity),
+        keeper=Mailbox(capacity),
+        writer=Mailbox(capacity),
+        to_log=Connections(),
+        to_nodes=Connections(),
+        to_backend=Connections(),
+    )
+
+
+def _control(parts: _Parts) -> ChildBody:
+    log = parts.settings.log
+    timeout_s = log.request_timeout_ms / 1000
+    wait_s = log.poll_wait_ms / 1000
+    pause_s = log.retry_pause_ms / 1000
+
+    def publish(
+        message: CatalogueChanged | MembersChanged | BackendAnnounced | BackendLeaving,
+    ) -> None:
+        if isinstance(message, CatalogueChanged | MembersChanged):
+            parts.router.tell(message)
+        if not isinstance(message, MembersChanged):
+            parts.gate.tell(message)
+
+    def reader(stream: str) -> ChildBody:
+        return log_reader(
+            parts.keeper,
+            parts.to_log,
+            log.address,
+            stream,
+            timeout_s,
+            wait_s,
+            pause_s,
+        )
+
+    writer = log_writer(parts.writer, parts.to_log, log.address, timeout_s, pause_s)
+    children = (
+        ChildSpec("connections", connection_owner(parts.to_log, timeout_s), 1.0),
+        ChildSpec("log_writer", writer),
+        ChildSpec(
+            "keeper", keeper(parts.keeper, parts.writer, publish, time.monotonic)
+        ),
+        ChildSpec("catalogue_reader", reader(CATALOGUE_STREAM)),
+        ChildSpec("members_reader", reader(MEMBERS_STREAM)),
+    )
+    return supervisor("control", children, time.monotonic)
+
+
+def _dispatch(parts: _Parts) -> ChildBody:
+    settings = parts.settings
+    own = settings.node.peer_address
+    connect_s = settings.limits.connect_timeout_ms / 1000
+    children = (
+        ChildSpec("connections", connection_owner(parts.to_nodes, connect_s), 1.0),
+        ChildSpec("router", router(parts.router, time.monotonic, own, Random())),
+    )
+    return supervisor("dispatch", children, time.monotonic)
+
+
+def _guard(parts: _Parts) -> ChildBody:
+    limits = parts.settings.limits
+    connect_s = limits.connect_timeout_ms / 1000
+    children = (
+        ChildSpec("connections", connection_owner(parts.to_backend, connect_s), 1.0),
+        ChildSpec("gate", gate(parts.gate, time.monotonic, limits.queue_calls)),
+    )
+    return supervisor("guard", children, time.monotonic)
+
+
+def _entry(parts: _Parts) -> ChildBody:
+    node = parts.settings.node
+    buffer_bytes = parts.settings.limits.body_buffer_bytes
+    guard_port = GuardPort(parts.gate, parts.to_backend)
+    port = DispatchPort(parts.router, parts.to_nodes, guard_port)
+    backend = backend_handler(
+        parts.keeper,
+        node.peer_address,
+        node.zone,
+        parts.incarnation,
+        client_handler(port, buffer_bytes, from_backend=True),
+    )
+    peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
+    clients = client_handler(port, buffer_bytes, from_backend=False)
+
+    def listening(name: str, address: Address, handler: Handler) -> ChildSpec:
+        body = listener(address, handler, node.stop_timeout_s)
+        return ChildSpec(name, body, node.stop_timeout_s + 1)
+
+    children = (
+        listening("backend", node.backend_address, backend),
+        listening("peers", node.peer_address, peers),
+        listening("clients", node.client_address, clients),
+    )
+    return supervisor("entry", children, time.monotonic)
+
+
+def _control_handlers(parts: _Parts) -> ControlHandlers:
+    async def status(request: web.BaseRequest) -> web.StreamResponse:
+        question = AskStatus(Reply())
+        parts.keeper.tell(question)
+        body = encode_status(await question.reply.value())
+        return web.Response(body=body, content_type="application/json")
+
+    return {("GET", "/.masticspoke/status"): status}
+
+
+def run_node(settings: Settings) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        life = Lifecycle()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, life.request_stop)
+        log_event(Event.NODE_STARTED, node=settings.node.name, zone=settings.node.zone)
+        await node_tree(settings)(life)
+
+    with aiomisc.entrypoint(log_config=False) as loop:
+        loop.run_until_complete(main())
--- /dev/null
+++ b/testing/standins/backend_server.py
@@ -0,0 +1,175 @@
+"""Stand-in for a backend server.
+
+``python -m testing.standins.backend_server PORT NODE_PORT SERVICE [OPTION=VALUE ...]``
+
+Options: ``slots``, ``latency_ms``, ``ttl_ms``, ``cold_start_ms``, ``child`` (a path
+called through the own node for each request). The query of a request may ask for
+``latency_ms``, ``size`` (bytes of the answer), ``chunk_ms`` (pause between 64 KiB
+chunks) and ``crash=1`` (the process ends at once). ``GET /runs`` tells how often each
+``Idempotency-Key`` was run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass
+from dataclasses import field
+
+import aiohttp
+from aiohttp import web
+
+CHUNK = b"x" * 65_536
+
+
+@dataclass
+class Options:
+    slots: int = 50
+    latency_ms: float = 5.0
+    ttl_ms: int = 1_000
+    cold_start_ms: float = 0.0
+    child: str = ""
+    connections: int = 400
+
+
+@dataclass
+class Backend:
+    port: int
+    node_port: int
+    service: str
+    options: Options
+    runs: dict[str, int] = field(default_factory=dict)
+    served: int = 0
+    running: int = 0
+    most_running: int = 0
+    started: float = field(default_factory=time.monotonic)
+
+
+def parse_options(words: list[str]) -> Options:
+    values = dict(word.split("=", 1) for word in words)
+    kinds = {"child": str, "latency_ms": float, "cold_start_ms": float}
+    return Options(**{k: kinds.get(k, int)(v) for k, v in values.items()})
+
+
+def handler(backend: Backend, session: aiohttp.ClientSession) -> object:
+    async def run(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/runs":
+            return web.json_response(
+                {
+                    "runs": backend.runs,
+                    "served": backend.served,
+                    "most_running": backend.most_running,
+                }
+            )
+        if request.query.get("crash") == "1":
+            os._exit(9)
+        key = request.headers.get("Idempotency-Key", "")
+        if key:
+            backend.runs[key] = backend.runs.get(key, 0) + 1
+        backend.served += 1
+        backend.running += 1
+        backend.most_running = max(backend.most_running, backend.running)
+        try:
+            return await answer(request, key)
+        finally:
+            backend.running -= 1
+
+    async def answer(request: web.BaseRequest, key: str) -> web.StreamResponse:
+        body = await request.read()
+        latency_ms = float(request.query.get("latency_ms", backend.options.latency_ms))
+        age_ms = (time.monotonic() - backend.started) * 1000
+        latency_ms += max(0.0, backend.options.cold_start_ms - age_ms) / 10
+        await asyncio.sleep(latency_ms / 1000)
+        child = ""
+        if backend.options.child:
+            headers = {"traceparent": request.headers.get("traceparent", "")}
+            url = f"http://127.0.0.1:{backend.node_port}{backend.options.child}"
+            async with session.get(url, headers=headers) as response:
+                child = (await response.read()).decode()
+                if response.status != 200:
+                    return web.Response(status=response.status, text=child)
+        if "size" in request.query:
+            return await stream(request, int(request.query["size"]))
+        return web.json_response(
+            {
+                "service": backend.service,
+                "port": backend.port,
+                "path": request.path,
+                "key": key,
+                "echo": request.query.get("echo", ""),
+                "length": len(body),
+                "child": json.loads(child) if child else None,
+            }
+        )
+
+    async def stream(request: web.BaseRequest, size: int) -> web.StreamResponse:
+        response = web.StreamResponse()
+        if request.query.get("chunked") != "1":
+            response.content_length = size
+        await response.prepare(request)
+        pause_s = float(request.query.get("chunk_ms", 0)) / 1000
+        while size > 0:
+            await response.write(CHUNK[: min(size, len(CHUNK))])
+            size -= len(CHUNK)
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        await response.write_eof()
+        return response
+
+    return run
+
+
+async def announce(backend: Backend, session: aiohttp.ClientSession) -> None:
+    url = f"http://127.0.0.1:{backend.node_port}/.masticspoke/backend"
+    body = {
+        "service": backend.service,
+        "address": f"127.0.0.1:{backend.port}",
+        "slots": backend.options.slots,
+        "connections": backend.options.connections,
+        "ttl_ms": backend.options.ttl_ms,
+    }
+    while True:
+        try:
+            async with session.put(url, json=body) as response:
+                await response.read()
+        except aiohttp.ClientError:
+            await asyncio.sleep(0.1)
+            continue
+        await asyncio.sleep(backend.options.ttl_ms / 3000)
+
+
+async def serve(backend: Backend) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        server = web.Server(handler(backend, session), access_log=None)  # type: ignore[arg-type]
+        runner = web.ServerRunner(server, shutdown_timeout=30)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", backend.port).start()
+        task = asyncio.create_task(announce(backend, session))
+        await stop.wait()
+        task.cancel()
+        url = f"http://127.0.0.1:{backend.node_port}/.masticspoke/backend"
+        try:
+            async with session.delete(url):
+                pass
+        except aiohttp.ClientError:
+            pass
+        await runner.cleanup()
+
+
+def main() -> None:
+    port, node_port, service, *words = sys.argv[1:]
+    backend = Backend(int(port), int(node_port), service, parse_options(words))
+    asyncio.run(serve(backend))
+
+
+if __name__ == "__main__":
+    main()
