--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .venv/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
-	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check --editable '.[dev]'
 	touch $@
 
 .PHONY: test check format check-shape pytest demo bench capacity soak
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -12,6 +12,7 @@
 from _masticspoke.model import Member
 from _masticspoke.model import RequestShape
 from _masticspoke.model import Trace
+from _masticspoke.model import View
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.mailbox import Reply
 
@@ -32,6 +33,18 @@
     members: tuple[Member, ...]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class ViewsChanged:
+    """Views that came into force by records read from the log.
+
+    :param read_through: offset of the last record read of their stream.
+    """
+
+    views: tuple[View, ...]
+    read_through: int
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class BackendAnnounced:
--- a/src/_masticspoke/model.py
+++ b/src/_masticspoke/model.py
@@ -212,8 +212,13 @@
 @final
 @dataclass(frozen=True, slots=True)
 class View:
-    """Numbered membership of one service, agreed by the log's order."""
+    """Numbered membership of one service, agreed by the log's order.
+
+    :param number: one more with each accepted membership record of the service.
+    :param offset: log offset of the record that made it; -1 for the empty view.
+    """
 
     service: str
     number: int = 0
+    offset: int = -1
     members: tuple[Member, ...] = field(default=())
