--- a/testing/live/fleet.py
+++ b/testing/live/fleet.py
@@ -92,13 +92,14 @@
     servers: list[Server] = field(default_factory=list)
     log: subprocess.Popen[bytes] | None = None
     settings: str = ""
+    extra: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
     def __enter__(self) -> Fleet:
         self.start_log()
         return self
 
     def __exit__(self, *exc: object) -> None:
-        processes = [self.log]
+        processes = [self.log, *self.extra]
         processes += [p for s in self.servers for p in (s.node, s.backend)]
         for process in processes:
             if process is not None and process.poll() is None:
