--- a/bench/latency.py
+++ b/bench/latency.py
@@ -22,7 +22,6 @@
 import aiohttp
 import uvloop
 from hdrh.histogram import HdrHistogram
-
 from testing.live.fleet import Fleet
 from testing.live.fleet import free_port
 from testing.live.fleet import http
--- /dev/null
+++ b/testing/supervise/test_supervisor.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from _masticspoke.decisions.restart import Intensity
+from _masticspoke.errors import TooManyRestartsError
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.supervisor import ChildSpec
+from _masticspoke.supervise.supervisor import supervisor
+
+
+def child(name: str, trace: list[str], finish_s: float = 0.0) -> ChildBody:
+    async def run(life: Lifecycle) -> None:
+        trace.append(f"start {name}")
+        life.mark_started()
+        try:
+            await life.stopping()
+            await asyncio.sleep(finish_s)
+            trace.append(f"finish {name}")
+        except asyncio.CancelledError:
+            trace.append(f"cancel {name}")
+            raise
+
+    return run
+
+
+def crashing(times: int, trace: list[str]) -> ChildBody:
+    left = [times]
+
+    async def run(life: Lifecycle) -> None:
+        life.mark_started()
+        if left[0] > 0:
+            left[0] -= 1
+            raise RuntimeError("planted")
+        trace.append("survived")
+        await life.stopping()
+
+    return run
+
+
+async def run_for(body: ChildBody, until: Callable[[], bool], life: Lifecycle) -> None:
+    task = asyncio.create_task(body(life))
+    for _ in range(1000):
+        if until() or task.done():
+            break
+        await asyncio.sleep(0)
+    life.request_stop()
+    await task
+
+
+def test_children_start_in_order_and_stop_in_reverse() -> None:
+    trace: list[str] = []
+    specs = [ChildSpec(n, child(n, trace), stop_timeout_s=5) for n in "abc"]
+    body = supervisor("root", specs, clock=lambda: 0.0)
+    asyncio.run(run_for(body, lambda: len(trace) == 3, Lifecycle()))
+    assert trace == [
+        "start a",
+        "start b",
+        "start c",
+        "finish c",
+        "finish b",
+        "finish a",
+    ]
+
+
+def test_a_child_that_takes_too_long_is_cancelled() -> None:
+    trace: list[str] = []
+    specs = [ChildSpec("slow", child("slow", trace, 60), stop_timeout_s=0.01)]
+    body = supervisor("root", specs, clock=lambda: 0.0)
+    asyncio.run(run_for(body, lambda: bool(trace), Lifecycle()))
+    assert trace == ["start slow", "cancel slow"]
+
+
+def test_a_crashed_child_is_restarted_and_its_siblings_are_left_alone() -> None:
+    trace: list[str] = []
+    specs = [
+        ChildSpec("steady", child("steady", trace), stop_timeout_s=5),
+        ChildSpec("shaky", crashing(3, trace), stop_timeout_s=5),
+    ]
+    body = supervisor("root", specs, lambda: 0.0, Intensity(5, 10.0))
+    asyncio.run(run_for(body, lambda: "survived" in trace, Lifecycle()))
+    assert trace == ["start steady", "survived", "finish steady"]
+
+
+def test_too_many_crashes_go_up_the_tree_and_end_it() -> None:
+    trace: list[str] = []
+    inner = supervisor(
+        "inner",
+        [ChildSpec("shaky", crashing(1000, trace))],
+        lambda: 0.0,
+        Intensity(2, 10.0),
+    )
+    outer = supervisor(
+        "outer",
+        [ChildSpec("steady", child("steady", trace), 5), ChildSpec("inner", inner)],
+        lambda: 0.0,
+        Intensity(1, 10.0),
+    )
+    with pytest.raises(TooManyRestartsError, match="inner of outer"):
+        asyncio.run(run_for(outer, lambda: False, Lifecycle()))
+    assert trace == ["start steady", "finish steady"]
+
+
+def test_a_child_that_crashes_before_it_has_started_counts_as_a_crash() -> None:
+    async def broken(life: Lifecycle) -> None:
+        raise OSError("address in use")
+
+    body = supervisor(
+        "root", [ChildSpec("broken", broken)], lambda: 0.0, Intensity(3, 10.0)
+    )
+    with pytest.raises(TooManyRestartsError):
+        asyncio.run(run_for(body, lambda: False, Lifecycle()))
