Add the metrics branch: counters, HDR histograms, Prometheus endpoint

Ruled out: counting in the router, which would add work to the task that all requests share; trace hooks of the HTTP client, which run for each request whether used or not; a message for each counter. Change: a branch metrics, first child of the root, whose recorder owns the counters and windows. Each request carries an account that its own task fills and hands over in one message when it ends. Events are counted by a sink, so that no caller has to. Mailboxes count what they refuse. GET /.masticspoke/metrics on the peer address gives the Prometheus text format. Paths that a node answers itself move to border/paths.py. Series are bounded at 4,096 and classes at 32; the rest counts as "other".

--- /dev/null
+++ b/src/_masticspoke/border/paths.py
@@ -0,0 +1,8 @@
+"""Paths that a node answers itself, on its peer and backend addresses."""
+
+from __future__ import annotations
+
+CONTROL_PREFIX = "/.masticspoke/"
+STATUS_PATH = f"{CONTROL_PREFIX}status"
+METRICS_PATH = f"{CONTROL_PREFIX}metrics"
+BACKEND_PATH = f"{CONTROL_PREFIX}backend"
--- a/src/_masticspoke/cli/status.py
+++ b/src/_masticspoke/cli/status.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from _masticspoke.border.fields import parse_address
+from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.border.status import decode_status
 from _masticspoke.errors import NodeUnavailableError
 from _masticspoke.errors import SettingsError
@@ -40,7 +41,7 @@
     try:
         async with (
             aiohttp.ClientSession(timeout=_TIMEOUT) as session,
-            session.get(f"http://{address}/.masticspoke/status") as response,
+            session.get(f"http://{address}{STATUS_PATH}") as response,
         ):
             return await response.read()
     except (aiohttp.ClientError, TimeoutError) as error:
--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -69,6 +69,8 @@
             return failed.refusal
         question = AttemptFailed(target, failed.refusal, failed.report, Reply())
         target = await _ask(port, question)
+        if isinstance(target, Target):
+            sent.account.retried.append(failed.refusal.reason)
     return target
 
 
@@ -128,6 +130,8 @@
 ) -> web.StreamResponse | NotAdmitted:
     headers = CIMultiDict(sent.headers)
     headers[CALL_HEADER] = encode_call(target.call, time.monotonic())
+    sent.account.attempt(target.call)
+    sent.account.wait_began(time.monotonic())
     try:
         async with port.connections.session.request(
             sent.method,
@@ -136,6 +140,7 @@
             data=sent.body or None,
             allow_redirects=False,
         ) as upstream:
+            sent.account.wait_ended(time.monotonic())
             report = decode_report(upstream.headers.get(REPORT_HEADER))
             if REFUSED_HEADER in upstream.headers:
                 return await _refused(upstream, report)
@@ -145,6 +150,8 @@
         return _failed(Reason.NODE_UNREACHABLE, Ran.NO, error)
     except (aiohttp.ClientError, ConnectionError) as error:
         return _failed(Reason.NODE_FAILED, Ran.UNKNOWN, error)
+    finally:
+        sent.account.wait_ended(time.monotonic())
 
 
 async def _refused(
--- a/src/_masticspoke/entry/announcements.py
+++ b/src/_masticspoke/entry/announcements.py
@@ -6,9 +6,10 @@
 from pydantic import ValidationError
 
 from _masticspoke.border.announcement import decode_announcement
+from _masticspoke.border.paths import BACKEND_PATH
+from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.control.keeper import KeeperMessage
 from _masticspoke.entry.listener import Handler
-from _masticspoke.entry.peers import CONTROL_PREFIX
 from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.entry.peers import route_control
 from _masticspoke.events import Event
@@ -22,7 +23,6 @@
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 
-_PATH = f"{CONTROL_PREFIX}backend"
 _MAX_BYTES = 65_536
 
 
@@ -50,7 +50,10 @@
     async def leave(request: web.BaseRequest) -> web.StreamResponse:
         return _told(keeper.tell(BackendLeaving()))
 
-    control: ControlHandlers = {("PUT", _PATH): announce, ("DELETE", _PATH): leave}
+    control: ControlHandlers = {
+        ("PUT", BACKEND_PATH): announce,
+        ("DELETE", BACKEND_PATH): leave,
+    }
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith(CONTROL_PREFIX):
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -14,6 +14,7 @@
 from _masticspoke.border.headers import decode_call
 from _masticspoke.border.headers import encode_report
 from _masticspoke.border.headers import REPORT_HEADER
+from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.entry.listener import Handler
 from _masticspoke.exchange import outgoing
 from _masticspoke.exchange import refusal_response
@@ -24,7 +25,6 @@
 from _masticspoke.model import LoadReport
 from _masticspoke.refusals import Refusal
 
-CONTROL_PREFIX = "/.masticspoke/"
 ControlHandlers = Mapping[
     tuple[str, str], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ]
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 from typing import final
@@ -46,3 +49,18 @@
     logger.bind(event=spec.number, **fields).log(
         spec.level, "E{} {} {}", spec.number, spec.text, details
     )
+
+
+@contextmanager
+def counted_events(count: Callable[[int], None]) -> Iterator[None]:
+    """Call ``count`` with the number of each event logged in the meantime."""
+    sink = logger.add(
+        lambda message: count(message.record["extra"]["event"]),
+        level="DEBUG",
+        format="",
+        filter=lambda record: "event" in record["extra"],
+    )
+    try:
+        yield
+    finally:
+        logger.remove(sink)
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import final
 
 import aiohttp
@@ -21,10 +22,12 @@
 from _masticspoke.border.problem import CONTENT_TYPE
 from _masticspoke.border.problem import encode_problem
 from _masticspoke.border.problem import retry_after
+from _masticspoke.metrics.account import RequestAccount
 from _masticspoke.model import LoadReport
 from _masticspoke.refusals import REASONS
 from _masticspoke.refusals import Refusal
 
+ACCOUNT = web.RequestKey("account", RequestAccount)
 _ONE_WRITE_BYTES = 65_536
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -35,12 +38,14 @@
     """A request to pass on.
 
     :param body: the whole body, or an iterator that can be read once.
+    :param account: figures of the request that it is made for.
     """
 
     method: str
     target: str
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes]
+    account: RequestAccount = field(default_factory=lambda: RequestAccount(0.0))
 
     @property
     def resendable(self) -> bool:
@@ -94,7 +99,8 @@
         small = small and request.content_length <= buffer_bytes  # type: ignore[operator]
         body = await request.read() if small else request.content.iter_any()
     headers = forwarded(request.headers)
-    return Outgoing(request.method, request.raw_path, headers, body)
+    account = request.get(ACCOUNT) or RequestAccount(0.0)
+    return Outgoing(request.method, request.raw_path, headers, body, account)
 
 
 async def relay(
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -51,6 +51,7 @@
     port: GuardPort, call: Call, request: Outgoing, deliver: DeliverRun
 ) -> web.StreamResponse | NotAdmitted:
     """Ask the gate, run the call, and pass its answer to ``deliver``."""
+    request.account.attempt(call)
     reply: Reply[Admitted | NotAdmitted] = Reply()
     question = Admit(call, fingerprint(request), reply)
     if port.gate.tell(question) is Delivery.FULL:
@@ -76,6 +77,7 @@
     port: GuardPort, admitted: Admitted, request: Outgoing, deliver: DeliverRun
 ) -> web.StreamResponse | NotAdmitted:
     started = time.monotonic()
+    request.account.wait_began(started)
     crashed = False
     headers = CIMultiDict(request.headers)
     headers[TRACE_HEADER] = encode_traceparent(admitted.trace)
@@ -87,6 +89,7 @@
             data=request.body or None,
             allow_redirects=False,
         ) as upstream:
+            request.account.wait_ended(time.monotonic())
             return await deliver(upstream, admitted.report)
     except aiohttp.ClientConnectorError as error:
         crashed = True
@@ -97,5 +100,7 @@
         refusal = Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
         return NotAdmitted(refusal, admitted.report)
     finally:
-        latency_s = time.monotonic() - started
+        ended = time.monotonic()
+        latency_s = ended - started
+        request.account.wait_ended(ended)
         port.gate.tell(Finished(admitted.ticket, latency_s, crashed))
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -8,11 +8,14 @@
 import time
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 from typing import final
 
 import aiomisc
 from aiohttp import web
 
+from _masticspoke.border.paths import METRICS_PATH
+from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.border.records import CATALOGUE_STREAM
 from _masticspoke.border.records import MEMBERS_STREAM
 from _masticspoke.border.settings import Settings
@@ -43,6 +46,11 @@
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
 from _masticspoke.messages import MembersChanged
+from _masticspoke.metrics.account import Port
+from _masticspoke.metrics.measure import measured
+from _masticspoke.metrics.measure import metrics_handler
+from _masticspoke.metrics.recorder import recorder
+from _masticspoke.metrics.recorder import RecorderMessage
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
@@ -63,6 +71,7 @@
     gate: Mailbox[GateMessage]
     keeper: Mailbox[KeeperMessage]
     writer: Mailbox[WriterMessage]
+    recorder: Mailbox[RecorderMessage]
     to_log: Connections
     to_nodes: Connections
     to_backend: Connections
@@ -72,6 +81,7 @@
     """Return the node's root supervisor; its branches are the package's folders."""
     parts = _parts(settings)
     branches = (
+        ChildSpec("metrics", _metrics(parts), stop_timeout_s=1.0),
         ChildSpec("control", _control(parts), stop_timeout_s=5.0),
         ChildSpec("dispatch", _dispatch(parts), stop_timeout_s=5.0),
         ChildSpec("guard", _guard(parts), stop_timeout_s=5.0),
@@ -99,12 +109,25 @@
         gate=Mailbox(capacity),
         keeper=Mailbox(capacity),
         writer=Mailbox(capacity),
+        recorder=Mailbox(capacity),
         to_log=Connections(),
         to_nodes=Connections(),
         to_backend=Connections(),
     )
 
 
+def _metrics(parts: _Parts) -> ChildBody:
+    mailboxes: dict[str, Mailbox[Any]] = {
+        "router": parts.router,
+        "gate": parts.gate,
+        "keeper": parts.keeper,
+        "writer": parts.writer,
+        "recorder": parts.recorder,
+    }
+    body = recorder(parts.recorder, mailboxes, time.monotonic)
+    return supervisor("metrics", (ChildSpec("recorder", body),), time.monotonic)
+
+
 def _control(parts: _Parts) -> ChildBody:
     log = parts.settings.log
     timeout_s = log.request_timeout_ms / 1000
@@ -118,6 +141,8 @@
             parts.router.tell(message)
         if not isinstance(message, MembersChanged):
             parts.gate.tell(message)
+        if isinstance(message, CatalogueChanged):
+            parts.recorder.tell(message)
 
     def reader(stream: str) -> ChildBody:
         return log_reader(
@@ -179,14 +204,15 @@
     peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
     clients = client_handler(port, buffer_bytes, from_backend=False)
 
-    def listening(name: str, address: Address, handler: Handler) -> ChildSpec:
-        body = listener(address, handler, node.stop_timeout_s)
-        return ChildSpec(name, body, node.stop_timeout_s + 1)
+    def listening(port: Port, address: Address, handler: Handler) -> ChildSpec:
+        counted = measured(handler, port, parts.recorder, time.monotonic)
+        body = listener(address, counted, node.stop_timeout_s)
+        return ChildSpec(port.value, body, node.stop_timeout_s + 1)
 
     children = (
-        listening("backend", node.backend_address, backend),
-        listening("peers", node.peer_address, peers),
-        listening("clients", node.client_address, clients),
+        listening(Port.BACKEND, node.backend_address, backend),
+        listening(Port.PEERS, node.peer_address, peers),
+        listening(Port.CLIENTS, node.client_address, clients),
     )
     return supervisor("entry", children, time.monotonic)
 
@@ -198,7 +224,10 @@
         body = encode_status(await question.reply.value())
         return web.Response(body=body, content_type="application/json")
 
-    return {("GET", "/.masticspoke/status"): status}
+    return {
+        ("GET", STATUS_PATH): status,
+        ("GET", METRICS_PATH): metrics_handler(parts.recorder),
+    }
 
 
 def run_node(settings: Settings) -> None:
--- a/src/_masticspoke/supervise/mailbox.py
+++ b/src/_masticspoke/supervise/mailbox.py
@@ -32,15 +32,22 @@
         self._capacity = capacity
         self._waiting: deque[M] = deque()
         self._receiver: asyncio.Future[None] | None = None
+        self._refused = 0
 
     @property
     def depth(self) -> int:
         """Messages that wait."""
         return len(self._waiting)
 
+    @property
+    def refused(self) -> int:
+        """Messages that were answered ``FULL`` so far."""
+        return self._refused
+
     def tell(self, message: M) -> Delivery:
         """Leave a message without waiting."""
         if len(self._waiting) >= self._capacity:
+            self._refused += 1
             return Delivery.FULL
         self._waiting.append(message)
         receiver = self._receiver
--- /dev/null
+++ b/testing/metrics/test_recorder.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
+from _masticspoke.messages import CatalogueChanged
+from _masticspoke.metrics.account import Outcome
+from _masticspoke.metrics.account import Port
+from _masticspoke.metrics.account import RequestAccount
+from _masticspoke.metrics.account import RequestEnded
+from _masticspoke.metrics.families import Metric
+from _masticspoke.metrics.families import Sample
+from _masticspoke.metrics.families import Summary
+from _masticspoke.metrics.recorder import AskMetrics
+from _masticspoke.metrics.recorder import LogRequestFailed
+from _masticspoke.metrics.recorder import MAX_SERIES
+from _masticspoke.metrics.recorder import recorder
+from _masticspoke.metrics.recorder import RecorderMessage
+from _masticspoke.model import Call
+from _masticspoke.model import Catalogue
+from _masticspoke.model import ClassSpec
+from _masticspoke.refusals import Reason
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+
+CATALOGUE = CatalogueChanged(Catalogue(4, (ClassSpec("line", 1),)))
+CALL = Call("a", "inspection-read", "inspect-desk", 1, 10.0, idempotent=True)
+
+
+def answered() -> RequestEnded:
+    account = RequestAccount(1.0)
+    account.attempt(CALL)
+    account.wait_began(1.25)
+    account.wait_ended(1.75)
+    account.attempt(CALL)
+    account.retried.append(Reason.QUEUE_FULL)
+    account.wait_began(2.0)
+    account.wait_ended(3.0)
+    account.wait_ended(9.0)
+    return RequestEnded(Port.CLIENTS, account, Outcome.ANSWERED, None, 2.5)
+
+
+def refused(reason: Reason, kind: str = "") -> RequestEnded:
+    account = RequestAccount(1.0, kind)
+    return RequestEnded(Port.CLIENTS, account, Outcome.REFUSED, reason, 0.1)
+
+
+async def told(messages: Sequence[RecorderMessage]) -> dict[object, float]:
+    """Counter values after the messages, by metric and labels."""
+    inbox: Mailbox[RecorderMessage] = Mailbox(10_000)
+    task = asyncio.create_task(
+        recorder(inbox, {"recorder": inbox}, lambda: 1.0)(Lifecycle())
+    )
+    for message in messages:
+        inbox.tell(message)
+    question = AskMetrics(Reply())
+    await asyncio.sleep(0)
+    log_event(Event.NODE_STARTED, node="x")
+    inbox.tell(question)
+    found = await question.reply.value()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    values = {(s.metric, *s.labels): s.value for s in found if isinstance(s, Sample)}
+    sums = {(s.metric, *s.labels): s.sum for s in found if isinstance(s, Summary)}
+    return {**values, **sums}
+
+
+def test_a_retried_request_counts_its_attempts_and_reasons() -> None:
+    found = asyncio.run(told([CATALOGUE, answered()]))
+
+    assert found[Metric.REQUESTS, "clients", "line", "answered"] == 1
+    assert found[Metric.ATTEMPTS, "clients", "line"] == 2
+    assert found[Metric.RETRIES, "line", "inspection-read", "queue-full"] == 1
+    assert found[Metric.LATENCY, "clients", "line"] == 2.5
+    assert found[Metric.ADDED_LATENCY, "clients"] == 0.5
+    assert found[(Metric.CATALOGUE_VERSION,)] == 4
+
+
+def test_each_reason_is_counted_by_itself() -> None:
+    found = asyncio.run(told([refused(reason) for reason in Reason]))
+
+    for reason in Reason:
+        labels = ("clients", "unknown", "unknown", reason.value)
+        assert found[(Metric.REFUSALS, *labels)] == 1
+
+
+def test_events_and_log_faults_are_counted() -> None:
+    found = asyncio.run(told([LogRequestFailed("append")]))
+
+    assert found[Metric.LOG_FAULTS, "append"] == 1
+    assert found[Metric.EVENTS, "1001"] == 1
+
+
+def test_series_are_bounded_and_nothing_goes_uncounted() -> None:
+    count = MAX_SERIES + 500
+    messages = [refused(Reason.BUSY, kind=f"kind-{i}") for i in range(count)]
+
+    found = asyncio.run(told(messages))
+
+    refusals = {k: v for k, v in found.items() if k[0] is Metric.REFUSALS}  # type: ignore[index]
+    assert sum(refusals.values()) == count
+    assert len(found) < MAX_SERIES + 20
+
+
+def test_a_full_mailbox_counts_what_it_refused() -> None:
+    inbox: Mailbox[int] = Mailbox(1)
+    for i in range(4):
+        inbox.tell(i)
+
+    assert inbox.refused == 3
