--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	touch $@
 
 .PHONY: test check format check-shape pytest demo bench capacity soak
-test: check pytest
+test: check check-shape pytest
 
 check: .venv/.installed
 	$(BIN)/ruff format --check src testing bench
@@ -19,5 +19,8 @@
 	$(BIN)/ruff check --fix src testing bench
 	$(BIN)/ruff format src testing bench
 
+check-shape: .venv/.installed
+	$(BIN)/python -m testing.shape.check_shape src/_masticspoke src/masticspoke
+
 pytest: .venv/.installed
 	$(BIN)/python -m pytest
