--- /dev/null
+++ b/testing/docs/test_events_page.py
@@ -0,0 +1,26 @@
+from __future__ import annotations
+
+from _masticspoke.events import Event
+from testing.docs.pages import rows
+from testing.docs.pages import text
+
+
+def test_page_and_code_list_the_same_events() -> None:
+    listed = [(int(n), level, words) for n, level, words, _ in events()]
+    known = [(e.value.number, e.value.level, e.value.text) for e in Event]
+
+    assert listed == sorted(known)
+
+
+def test_each_event_says_what_to_do() -> None:
+    assert [number for number, *_, remedy in events() if not remedy] == []
+
+
+def test_numbers_are_unique() -> None:
+    numbers = [event.value.number for event in Event]
+
+    assert len(numbers) == len(set(numbers))
+
+
+def events() -> list[list[str]]:
+    return rows(text("EVENTS.md"), "number")
