--- a/src/_masticspoke/border/settings.py
+++ b/src/_masticspoke/border/settings.py
@@ -49,6 +49,8 @@
     request_timeout_ms: int = Field(default=2_000, gt=0, le=60_000)
     poll_wait_ms: int = Field(default=1_000, gt=0, le=60_000)
     retry_pause_ms: int = Field(default=200, gt=0, le=60_000)
+    snapshot_records: int = Field(default=1_000, ge=2, le=100_000)
+    snapshot_interval_s: float = Field(default=600.0, gt=0, le=604_800)
 
 
 @final
@@ -56,6 +58,8 @@
     """Nodes that this node asks first when it knows nothing yet."""
 
     seeds: Annotated[tuple[Address, ...], BeforeValidator(_address_list)] = ()
+    gossip_interval_ms: int = Field(default=1_000, ge=250, le=60_000)
+    request_timeout_ms: int = Field(default=500, gt=0, le=60_000)
 
 
 @final
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -12,20 +12,26 @@
 from typing import final
 
 import aiomisc
-from aiohttp import web
 
 from _masticspoke.border.paths import METRICS_PATH
-from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.border.records import CATALOGUE_STREAM
 from _masticspoke.border.records import MEMBERS_STREAM
 from _masticspoke.border.settings import Settings
-from _masticspoke.border.status import encode_status
 from _masticspoke.connections import connection_owner
+from _masticspoke.control.gossip import gossip
+from _masticspoke.control.gossip import GossipMessage
 from _masticspoke.control.keeper import keeper
 from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.knowledge import KeeperState
+from _masticspoke.control.knowledge import Published
 from _masticspoke.control.log_reader import log_reader
 from _masticspoke.control.log_writer import log_writer
 from _masticspoke.control.log_writer import WriterMessage
+from _masticspoke.control.peer_client import PeerClient
+from _masticspoke.control.peer_port import control_handlers
+from _masticspoke.decisions.incarnation import first_incarnation
+from _masticspoke.decisions.own_backend import OwnBackend
+from _masticspoke.decisions.snapshots import SnapshotPolicy
 from _masticspoke.dispatch.conduct import DispatchPort
 from _masticspoke.dispatch.router import router
 from _masticspoke.dispatch.router import RouterMessage
@@ -33,7 +39,6 @@
 from _masticspoke.entry.clients import client_handler
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.listener import listener
-from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.entry.peers import peer_handler
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
@@ -41,7 +46,6 @@
 from _masticspoke.guard.gate import gate
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.run import GuardPort
-from _masticspoke.messages import AskStatus
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
@@ -55,7 +59,6 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
-from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import ChildSpec
 from _masticspoke.supervise.supervisor import supervisor
 
@@ -72,7 +75,9 @@
     keeper: Mailbox[KeeperMessage]
     writer: Mailbox[WriterMessage]
     recorder: Mailbox[RecorderMessage]
+    gossip: Mailbox[GossipMessage]
     to_log: Connections
+    to_peers: Connections
     to_nodes: Connections
     to_backend: Connections
 
@@ -104,13 +109,15 @@
     capacity = settings.limits.mailbox_messages
     return _Parts(
         settings=settings,
-        incarnation=secrets.token_hex(8),
+        incarnation=first_incarnation(int(time.time() * 1000), secrets.token_hex(4)),
         router=Mailbox(capacity),
         gate=Mailbox(capacity),
         keeper=Mailbox(capacity),
         writer=Mailbox(capacity),
         recorder=Mailbox(capacity),
+        gossip=Mailbox(capacity),
         to_log=Connections(),
+        to_peers=Connections(),
         to_nodes=Connections(),
         to_backend=Connections(),
     )
@@ -122,6 +129,7 @@
         "gate": parts.gate,
         "keeper": parts.keeper,
         "writer": parts.writer,
+        "gossip": parts.gossip,
         "recorder": parts.recorder,
     }
     body = recorder(parts.recorder, mailboxes, time.monotonic)
@@ -134,16 +142,23 @@
     wait_s = log.poll_wait_ms / 1000
     pause_s = log.retry_pause_ms / 1000
 
-    def publish(
-        message: CatalogueChanged | MembersChanged | BackendAnnounced | BackendLeaving,
-    ) -> None:
+    def publish(message: Published) -> None:
         if isinstance(message, CatalogueChanged | MembersChanged):
             parts.router.tell(message)
-        if not isinstance(message, MembersChanged):
+        if isinstance(message, MembersChanged):
+            parts.gossip.tell(message)
+        if isinstance(message, CatalogueChanged | BackendAnnounced | BackendLeaving):
             parts.gate.tell(message)
         if isinstance(message, CatalogueChanged):
             parts.recorder.tell(message)
 
+    known = KeeperState(
+        parts.writer,
+        publish,
+        OwnBackend(parts.settings.node.peer_address, parts.incarnation),
+        SnapshotPolicy(log.snapshot_records, log.snapshot_interval_s),
+    )
+
     def reader(stream: str) -> ChildBody:
         return log_reader(
             parts.keeper,
@@ -155,19 +170,43 @@
             pause_s,
         )
 
-    writer = log_writer(parts.writer, parts.to_log, log.address, timeout_s, pause_s)
+    writer = log_writer(
+        parts.writer,
+        parts.to_log,
+        log.address,
+        timeout_s,
+        pause_s,
+        parts.keeper.tell,
+    )
     children = (
-        ChildSpec("connections", connection_owner(parts.to_log, timeout_s), 1.0),
+        ChildSpec("log_connections", connection_owner(parts.to_log, timeout_s), 1.0),
+        ChildSpec("peer_connections", connection_owner(parts.to_peers, timeout_s), 1.0),
         ChildSpec("log_writer", writer),
-        ChildSpec(
-            "keeper", keeper(parts.keeper, parts.writer, publish, time.monotonic)
-        ),
+        ChildSpec("keeper", keeper(parts.keeper, known, time.monotonic)),
         ChildSpec("catalogue_reader", reader(CATALOGUE_STREAM)),
         ChildSpec("members_reader", reader(MEMBERS_STREAM)),
+        ChildSpec("gossip", _gossip(parts)),
     )
     return supervisor("control", children, time.monotonic)
 
 
+def _peer_client(parts: _Parts) -> PeerClient:
+    return PeerClient(parts.to_peers, parts.settings.peers.request_timeout_ms / 1000)
+
+
+def _gossip(parts: _Parts) -> ChildBody:
+    peers = parts.settings.peers
+    return gossip(
+        parts.gossip,
+        parts.keeper,
+        _peer_client(parts),
+        parts.settings.node.peer_address,
+        peers.seeds,
+        peers.gossip_interval_ms / 1000,
+        time.monotonic,
+    )
+
+
 def _dispatch(parts: _Parts) -> ChildBody:
     settings = parts.settings
     own = settings.node.peer_address
@@ -198,10 +237,13 @@
         parts.keeper,
         node.peer_address,
         node.zone,
-        parts.incarnation,
         client_handler(port, buffer_bytes, from_backend=True),
     )
-    peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
+    control = {
+        **control_handlers(parts.keeper, parts.gossip, _peer_client(parts)),
+        ("GET", METRICS_PATH): metrics_handler(parts.recorder),
+    }
+    peers = peer_handler(guard_port, buffer_bytes, control)
     clients = client_handler(port, buffer_bytes, from_backend=False)
 
     def listening(port: Port, address: Address, handler: Handler) -> ChildSpec:
@@ -217,19 +259,6 @@
     return supervisor("entry", children, time.monotonic)
 
 
-def _control_handlers(parts: _Parts) -> ControlHandlers:
-    async def status(request: web.BaseRequest) -> web.StreamResponse:
-        question = AskStatus(Reply())
-        parts.keeper.tell(question)
-        body = encode_status(await question.reply.value())
-        return web.Response(body=body, content_type="application/json")
-
-    return {
-        ("GET", STATUS_PATH): status,
-        ("GET", METRICS_PATH): metrics_handler(parts.recorder),
-    }
-
-
 def run_node(settings: Settings) -> None:
     """Run a node until SIGTERM or SIGINT."""
 
--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -47,6 +47,7 @@
 PAUSES: Mapping[str, str] = {
     "control/log_reader.py": "the log service sends no message when it is up again",
     "control/log_writer.py": "the log service sends no message when it is up again",
+    "control/gossip.py": "spaces two rounds; what comes meanwhile waits",
 }
 
 
