--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(BIN)/pip install --quiet --quiet --disable-pip-version-check --editable '.[dev]'
 	touch $@
 
-.PHONY: test check format check-shape pytest demo bench capacity soak
+.PHONY: test check format check-shape pytest demo bench capacity soak latency
 test: check check-shape pytest
 
 check: .venv/.installed
@@ -24,3 +24,9 @@
 
 pytest: .venv/.installed
 	$(BIN)/python -m pytest
+
+capacity: .venv/.installed
+	$(BIN)/python -m bench.capacity
+
+latency: .venv/.installed
+	$(BIN)/python -m bench.latency
