Add make demo: a small fleet that checks its own promises

The load generator is a module of its own. Left: bookings are not re-sent with the same key, as claims are not built yet.

--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,8 @@
 check-shape: .venv/.installed
 	$(BIN)/python -m testing.shape.check_shape src/_masticspoke src/masticspoke
 
+demo: .venv/.installed
+	$(BIN)/python -m testing.live.demo
+
 pytest: .venv/.installed
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/testing/live/load.py
@@ -0,0 +1,113 @@
+"""Send requests at a rate and check each answer against what was promised."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+import aiohttp
+
+REFUSED_HEADER = "Masticspoke-Refused"
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request: its class, and how it is sent and checked.
+
+    :param child: service that the answer must show as the inner call's, if any.
+    """
+
+    name: str
+    class_name: str
+    method: str
+    path: str
+    service: str
+    child: str = ""
+
+    @property
+    def is_booking(self) -> bool:
+        return self.method == "POST"
+
+
+@dataclass
+class Tally:
+    """What became of all requests, and every broken promise."""
+
+    served: Counter[str] = field(default_factory=Counter)
+    refused: Counter[tuple[str, str]] = field(default_factory=Counter)
+    inner: Counter[str] = field(default_factory=Counter)
+    cut: Counter[str] = field(default_factory=Counter)
+    answered_keys: set[str] = field(default_factory=set)
+    not_run_keys: set[str] = field(default_factory=set)
+    broken: list[str] = field(default_factory=list)
+
+    def sent(self, class_name: str) -> int:
+        refused = sum(n for (name, _), n in self.refused.items() if name == class_name)
+        return (
+            self.served[class_name]
+            + refused
+            + self.inner[class_name]
+            + self.cut[class_name]
+        )
+
+
+async def send(
+    session: aiohttp.ClientSession, url: str, kind: Kind, tally: Tally
+) -> None:
+    """Send one request; an answer that is cut is counted, not a broken promise."""
+    token = uuid.uuid4().hex
+    headers = {"Idempotency-Key": token} if kind.is_booking else {}
+    joint = "&" if "?" in kind.path else "?"
+    target = f"{url}{kind.path}{joint}echo={token}"
+    try:
+        async with session.request(kind.method, target, headers=headers) as response:
+            await _judge(response, kind, token, tally)
+    except (aiohttp.ClientError, TimeoutError):
+        tally.cut[kind.class_name] += 1
+
+
+async def _judge(
+    response: aiohttp.ClientResponse, kind: Kind, token: str, tally: Tally
+) -> None:
+    if REFUSED_HEADER in response.headers:
+        problem = await response.json(content_type="application/problem+json")
+        tally.refused[kind.class_name, problem["reason"]] += 1
+        if problem["ran"] == "no":
+            tally.not_run_keys.add(token)
+        return
+    if response.status != 200:
+        await response.read()
+        tally.inner[kind.class_name] += 1
+        return
+    answer = await response.json()
+    tally.served[kind.class_name] += 1
+    tally.answered_keys.add(token)
+    child = answer["child"]["service"] if answer["child"] else ""
+    if (answer["echo"], answer["service"], child) != (token, kind.service, kind.child):
+        tally.broken.append(f"wrong answer to {kind.name}: {answer}")
+
+
+async def send_at_rate(
+    session: aiohttp.ClientSession,
+    urls: Callable[[], Sequence[str]],
+    kinds: Sequence[Kind],
+    per_s: float,
+    duration_s: float,
+    tally: Tally,
+) -> None:
+    """Start ``per_s`` requests a second, whether or not earlier ones were answered."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    tasks = []
+    for i in range(int(per_s * duration_s)):
+        await asyncio.sleep(max(0.0, started + i / per_s - loop.time()))
+        kind = kinds[i % len(kinds)]
+        call = send(session, random.choice(urls()), kind, tally)
+        tasks.append(asyncio.create_task(call))
+    await asyncio.gather(*tasks)
--- a/testing/standins/backend_server.py
+++ b/testing/standins/backend_server.py
@@ -3,10 +3,11 @@
 ``python -m testing.standins.backend_server PORT NODE_PORT SERVICE [OPTION=VALUE ...]``
 
 Options: ``slots``, ``latency_ms``, ``ttl_ms``, ``cold_start_ms``, ``child`` (a path
-called through the own node for each request). The query of a request may ask for
-``latency_ms``, ``size`` (bytes of the answer), ``chunk_ms`` (pause between 64 KiB
-chunks) and ``crash=1`` (the process ends at once). ``GET /runs`` tells how often each
-``Idempotency-Key`` was run.
+called through the own node for each request), ``journal`` (a file that gets the
+``Idempotency-Key`` of each run, also of a process that is killed later). The query of
+a request may ask for ``latency_ms``, ``size`` (bytes of the answer), ``chunk_ms``
+(pause between 64 KiB chunks) and ``crash=1`` (the process ends at once). ``GET /runs``
+tells how often each ``Idempotency-Key`` was run.
 """
 
 from __future__ import annotations
@@ -34,6 +35,7 @@
     cold_start_ms: float = 0.0
     child: str = ""
     connections: int = 400
+    journal: str = ""
 
 
 @dataclass
@@ -51,10 +53,16 @@
 
 def parse_options(words: list[str]) -> Options:
     values = dict(word.split("=", 1) for word in words)
-    kinds = {"child": str, "latency_ms": float, "cold_start_ms": float}
+    kinds = {"child": str, "journal": str, "latency_ms": float, "cold_start_ms": float}
     return Options(**{k: kinds.get(k, int)(v) for k, v in values.items()})
 
 
+def note_run(journal: str, key: str) -> None:
+    if journal:
+        with open(journal, "a") as file:
+            file.write(f"{key}\n")
+
+
 def handler(backend: Backend, session: aiohttp.ClientSession) -> object:
     async def run(request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/runs":
@@ -70,6 +78,7 @@
         key = request.headers.get("Idempotency-Key", "")
         if key:
             backend.runs[key] = backend.runs.get(key, 0) + 1
+            note_run(backend.options.journal, key)
         backend.served += 1
         backend.running += 1
         backend.most_running = max(backend.most_running, backend.running)
