--- /dev/null
+++ b/testing/docs/test_interfaces_page.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from types import ModuleType
+
+import pytest
+from pydantic import BaseModel
+from testing.docs.pages import column
+from testing.docs.pages import text
+
+import _masticspoke.border
+from _masticspoke.border.announcement import AnnouncementModel
+from _masticspoke.border.headers import CallModel
+from _masticspoke.border.headers import ReportModel
+from _masticspoke.border.problem import CONTENT_TYPE
+from _masticspoke.border.problem import ProblemModel
+
+SUFFIXES = ("_HEADER", "_PATH", "_PREFIX", "_STREAM")
+
+
+def border_modules() -> list[ModuleType]:
+    package = _masticspoke.border
+    names = [info.name for info in pkgutil.iter_modules(package.__path__)]
+    return [importlib.import_module(f"{package.__name__}.{name}") for name in names]
+
+
+def constants() -> dict[str, str]:
+    return {
+        name: value
+        for module in border_modules()
+        for name, value in vars(module).items()
+        if name.endswith(SUFFIXES) and not name.startswith("_")
+    }
+
+
+def test_there_are_constants_to_compare() -> None:
+    assert {"CALL_HEADER", "STATUS_PATH", "MEMBERS_STREAM"} <= constants().keys()
+
+
+@pytest.mark.parametrize("name", sorted(constants()))
+def test_each_header_path_and_stream_is_on_the_page(name: str) -> None:
+    value = constants()[name]
+    page = text("INTERFACES.md")
+
+    assert f"`{value}`" in page or f" {value}`" in page
+
+
+def test_problem_type_is_on_the_page() -> None:
+    assert f"`{CONTENT_TYPE}`" in text("INTERFACES.md")
+
+
+@pytest.mark.parametrize(
+    ("heading", "model"),
+    [
+        ("member", ProblemModel),
+        ("announcement member", AnnouncementModel),
+        ("call member", CallModel),
+        ("report member", ReportModel),
+    ],
+)
+def test_page_lists_the_members_of_each_body(
+    heading: str, model: type[BaseModel]
+) -> None:
+    fields = model.model_fields.items()
+    names = {field.alias or name for name, field in fields}
+
+    assert sorted(column(text("INTERFACES.md"), heading)) == sorted(names)
