--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,9 @@
 check-shape: .venv/.installed
 	$(BIN)/python -m testing.shape.check_shape src/_masticspoke src/masticspoke
 
+demo: .venv/.installed
+	$(BIN)/python -m testing.live.demo
+
 pytest: .venv/.installed
 	$(BIN)/python -m pytest
 
