Number the views of each service by the log's order

Ruled out: a view number per stream (it would change with other services); incarnations without an order (a late record of an ended one could rejoin). The catalogue carries the offset of the change that made it.

--- a/src/_masticspoke/border/settings.py
+++ b/src/_masticspoke/border/settings.py
@@ -49,6 +49,8 @@
     request_timeout_ms: int = Field(default=2_000, gt=0, le=60_000)
     poll_wait_ms: int = Field(default=1_000, gt=0, le=60_000)
     retry_pause_ms: int = Field(default=200, gt=0, le=60_000)
+    snapshot_records: int = Field(default=1_000, ge=2, le=100_000)
+    snapshot_interval_s: float = Field(default=600.0, gt=0, le=604_800)
 
 
 @final
--- a/src/_masticspoke/cli/catalogue.py
+++ b/src/_masticspoke/cli/catalogue.py
@@ -81,4 +81,4 @@
         for record in result.records:
             value = decode_record(record.data)
             if isinstance(value, Change):
-                state = reduce_change(state, value)
+                state = reduce_change(state, value, record.offset)
--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -1,35 +1,52 @@
-"""The keeper: owns the catalogue and the members that are in force here."""
+"""The keeper: owns the catalogue and the members that are in force here.
+
+Its state outlives a crash of its task, so that no version is ever taken back.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-from typing import final
 
-from _masticspoke.border.records import decode_record
+from _masticspoke.border.records import CATALOGUE_STREAM
+from _masticspoke.border.records import decode_catalogue
+from _masticspoke.border.records import decode_membership
 from _masticspoke.border.records import encode_record
 from _masticspoke.border.records import MEMBERS_STREAM
-from _masticspoke.control.log_writer import WriterMessage
-from _masticspoke.decisions.catalogue import CatalogueState
-from _masticspoke.decisions.catalogue import Change
-from _masticspoke.decisions.catalogue import reduce_change
-from _masticspoke.decisions.members import Joined
+from _masticspoke.control.knowledge import apply_catalogue
+from _masticspoke.control.knowledge import apply_hints
+from _masticspoke.control.knowledge import KeeperState
+from _masticspoke.control.knowledge import mark_ready
+from _masticspoke.decisions import own_backend
+from _masticspoke.decisions import snapshots
+from _masticspoke.decisions.catalogue import newest
+from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.hints import take_news
+from _masticspoke.decisions.log_health import note
+from _masticspoke.decisions.log_health import Turn
 from _masticspoke.decisions.members import Left
-from _masticspoke.decisions.members import MembersState
-from _masticspoke.decisions.members import reduce_membership
+from _masticspoke.decisions.replay import Snapshot
+from _masticspoke.decisions.streams import read_catalogue
+from _masticspoke.decisions.streams import read_members
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
 from _masticspoke.messages import AppendRecord
+from _masticspoke.messages import AskDigest
+from _masticspoke.messages import AskKnowledge
+from _masticspoke.messages import AskPosition
 from _masticspoke.messages import AskStatus
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
-from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import Digest
+from _masticspoke.messages import Knowledge
+from _masticspoke.messages import LogHealth
 from _masticspoke.messages import LogRecords
-from _masticspoke.messages import MembersChanged
+from _masticspoke.messages import MemberSilent
 from _masticspoke.messages import NodeStatus
+from _masticspoke.messages import NodeStopping
+from _masticspoke.messages import PeerNews
+from _masticspoke.messages import PeersAsked
+from _masticspoke.messages import ViewsChanged
 from _masticspoke.model import LoadReport
-from _masticspoke.model import Member
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
@@ -37,97 +54,216 @@
 from _masticspoke.supervise.server import serve
 from _masticspoke.supervise.supervisor import Clock
 
-KeeperMessage = LogRecords | BackendAnnounced | BackendLeaving | AskStatus
-Publish = Callable[
-    [CatalogueChanged | MembersChanged | BackendAnnounced | BackendLeaving], None
-]
-
-
-@final
-@dataclass(slots=True)
-class _KeeperState:
-    writer: Mailbox[WriterMessage]
-    publish: Publish
-    catalogue: CatalogueState = field(default_factory=CatalogueState)
-    members: MembersState = field(default_factory=MembersState)
-    own: Member | None = None
+KeeperMessage = (
+    LogRecords
+    | LogHealth
+    | AskPosition
+    | BackendAnnounced
+    | BackendLeaving
+    | NodeStopping
+    | PeerNews
+    | PeersAsked
+    | MemberSilent
+    | AskDigest
+    | AskKnowledge
+    | AskStatus
+)
+_TICK_S = 0.25
 
 
 def keeper(
-    inbox: Mailbox[KeeperMessage],
-    writer: Mailbox[WriterMessage],
-    publish: Publish,
-    clock: Clock,
+    inbox: Mailbox[KeeperMessage], state: KeeperState, clock: Clock
 ) -> ChildBody:
-    """Return the body of the keeper's task.
-
-    :param publish: tells the other branches what changed.
-    """
+    """Return the body of the keeper's task."""
 
     async def run(life: Lifecycle) -> None:
-        state = _KeeperState(writer, publish)
-        await serve(inbox, state, _HANDLERS, clock, life)
+        await serve(inbox, state, _HANDLERS, clock, life, tick_s=_TICK_S, on_tick=_tick)
 
     return run
 
 
-def _log_records(state: _KeeperState, message: LogRecords, now: float) -> None:
-    members = state.members
-    for record in message.records:
-        value = decode_record(record.data)
-        if isinstance(value, Change):
-            _apply_change(state, value)
-        elif value is not None:
-            state.members = reduce_membership(state.members, value)
-    if state.members is not members:
-        state.publish(MembersChanged(tuple(state.members.by_node.values())))
+def _log_records(state: KeeperState, message: LogRecords, now: float) -> None:
+    _READ[message.stream](state, message, now)
 
 
-def _apply_change(state: _KeeperState, change: Change) -> None:
-    before = state.catalogue
-    state.catalogue = reduce_change(before, change)
-    version = state.catalogue.catalogue.version
-    if state.catalogue is before:
-        log_event(Event.CATALOGUE_REJECTED, change=change.change_id, version=version)
+def _catalogue_read(state: KeeperState, message: LogRecords, now: float) -> None:
+    values = [(r.offset, decode_catalogue(r.data)) for r in message.records]
+    state.catalogue_log, refused = read_catalogue(
+        state.catalogue_log, message.oldest_offset, values
+    )
+    for change in refused:
+        log_event(Event.CATALOGUE_REJECTED, change=change.change_id)
+    for offset, value in values:
+        if isinstance(value, Snapshot):
+            state.catalogue_snapshot = snapshots.snapshot_seen(offset, now)
+    replay = state.catalogue_log
+    if replay.complete:
+        apply_catalogue(state, newest(state.catalogue, replay.state))
+    if message.at_end:
+        mark_ready(state)
+
+
+def _members_read(state: KeeperState, message: LogRecords, now: float) -> None:
+    values = [(r.offset, decode_membership(r.data)) for r in message.records]
+    before = state.members_log
+    step = read_members(before, message.oldest_offset, values)
+    state.members_log = step.replay
+    for offset, value in values:
+        if isinstance(value, Snapshot):
+            state.members_snapshot = snapshots.snapshot_seen(offset, now)
+    if step.replay.complete and step.replay.read_through != before.read_through:
+        state.publish(ViewsChanged(step.views, step.replay.read_through))
+    if message.records:
+        state.publish(message)
+    apply_hints(state, step.hints)
+
+
+_READ: dict[str, Callable[[KeeperState, LogRecords, float], None]] = {
+    CATALOGUE_STREAM: _catalogue_read,
+    MEMBERS_STREAM: _members_read,
+}
+
+
+def _ask_position(state: KeeperState, message: AskPosition, now: float) -> None:
+    replays = {
+        CATALOGUE_STREAM: state.catalogue_log.read_through,
+        MEMBERS_STREAM: state.members_log.read_through,
+    }
+    message.reply.answer(replays[message.stream] + 1)
+
+
+def _log_health(state: KeeperState, message: LogHealth, now: float) -> None:
+    state.log, turn = note(state.log, message.source, message.fault)
+    if turn is Turn.LOST:
+        log_event(Event.LOG_UNAVAILABLE, source=message.source, fault=message.fault)
+    if turn is Turn.BACK:
+        log_event(Event.LOG_AVAILABLE, source=message.source)
+
+
+def _announced(state: KeeperState, message: BackendAnnounced, now: float) -> None:
+    if state.stopping:
+        return
+    before = state.own
+    state.own = own_backend.announce(before, message.member, message.ttl_s, now)
+    member = state.own.member
+    if member is None or member == before.member:
         return
-    log_event(Event.CATALOGUE_IN_FORCE, change=change.change_id, version=version)
-    state.publish(CatalogueChanged(state.catalogue.catalogue))
+    log_event(Event.BACKEND_ANNOUNCED, service=member.service, address=member.backend)
+    state.publish(BackendAnnounced(member, message.ttl_s))
+    apply_hints(state, (own_backend.own_hint(state.own),))
+
+
+def _leaving(state: KeeperState, message: BackendLeaving, now: float) -> None:
+    _leave(state, Event.BACKEND_LEAVING)
 
 
-def _announced(state: _KeeperState, message: BackendAnnounced, now: float) -> None:
-    state.publish(message)
-    if message.member == state.own:
+def _leave(state: KeeperState, event: Event) -> None:
+    member = state.own.member
+    if member is None:
         return
-    state.own = message.member
-    log_event(Event.BACKEND_ANNOUNCED, service=message.member.service)
-    record = encode_record(Joined(message.member))
-    state.writer.tell(AppendRecord(MEMBERS_STREAM, record))
+    state.own = own_backend.leave(state.own)
+    log_event(event, service=member.service, address=member.backend)
+    # The router first: it then sends the gate nothing that would be refused.
+    apply_hints(state, (own_backend.own_hint(state.own),))
+    state.publish(BackendLeaving())
 
 
-def _leaving(state: _KeeperState, message: BackendLeaving, now: float) -> None:
-    state.publish(message)
-    own = state.own
-    if own is None:
+def _node_stopping(state: KeeperState, message: NodeStopping, now: float) -> None:
+    state.stopping = True
+    _leave(state, Event.BACKEND_LEAVING)
+
+
+def _peer_news(state: KeeperState, message: PeerNews, now: float) -> None:
+    apply_hints(state, message.hints)
+    if message.catalogue is not None:
+        apply_catalogue(state, newest(state.catalogue, message.catalogue))
+
+
+def _peers_asked(state: KeeperState, message: PeersAsked, now: float) -> None:
+    if not state.log.available:
+        mark_ready(state)
+
+
+def _member_silent(state: KeeperState, message: MemberSilent, now: float) -> None:
+    apply_hints(state, (Hint(message.node, message.incarnation),))
+    known = state.members_log.state.by_node.get(message.node)
+    if known is None or known.incarnation != message.incarnation:
         return
-    state.own = None
-    log_event(Event.BACKEND_LEAVING, service=own.service)
-    record = encode_record(Left(own.node, own.incarnation))
-    state.writer.tell(AppendRecord(MEMBERS_STREAM, record))
+    log_event(Event.MEMBER_SILENT, node=message.node, service=known.service)
+    _append(state, MEMBERS_STREAM, encode_record(Left(known.node, known.incarnation)))
+
+
+def _ask_digest(state: KeeperState, message: AskDigest, now: float) -> None:
+    state.hints, news = take_news(state.hints)
+    version = state.catalogue.catalogue.version
+    checksum = state.hints.checksum
+    message.reply.answer(Digest(state.own.node, version, checksum, news))
+
 
+def _ask_knowledge(state: KeeperState, message: AskKnowledge, now: float) -> None:
+    hints = tuple(state.hints.by_node.values())
+    message.reply.answer(Knowledge(state.catalogue, hints))
 
-def _ask_status(state: _KeeperState, message: AskStatus, now: float) -> None:
+
+def _ask_status(state: KeeperState, message: AskStatus, now: float) -> None:
     message.reply.answer(
         NodeStatus(
-            catalogue_version=state.catalogue.catalogue.version,
-            members=tuple(state.members.by_node.values()),
+            catalogue_version=state.catalogue.catalogue.version if state.ready else 0,
+            members=state.routing,
             report=LoadReport(),
         )
     )
 
 
-_HANDLERS: Handlers[_KeeperState] = {
+def _tick(state: KeeperState, now: float) -> None:
+    if own_backend.has_lapsed(state.own, now):
+        _leave(state, Event.BACKEND_LAPSED)
+    if state.members_log.complete:
+        state.own, record = own_backend.next_record(
+            state.own, state.members_log.state, now
+        )
+        if record is not None:
+            _append(state, MEMBERS_STREAM, encode_record(record))
+    _append_snapshots(state, now)
+
+
+def _append_snapshots(state: KeeperState, now: float) -> None:
+    nodes = [m.node for m in state.routing]
+    catalogue = state.catalogue_log
+    state.catalogue_snapshot = snapshots.tick(
+        state.catalogue_snapshot, catalogue.read_through, state.policy, now
+    )
+    if snapshots.is_our_turn(state.catalogue_snapshot, state.own.node, nodes, now):
+        if catalogue.complete:
+            record = Snapshot(catalogue.read_through, catalogue.state)
+            _append(state, CATALOGUE_STREAM, encode_record(record))
+        state.catalogue_snapshot = snapshots.waited(state.catalogue_snapshot, now)
+    members = state.members_log
+    state.members_snapshot = snapshots.tick(
+        state.members_snapshot, members.read_through, state.policy, now
+    )
+    if snapshots.is_our_turn(state.members_snapshot, state.own.node, nodes, now):
+        if members.complete:
+            encoded = encode_record(Snapshot(members.read_through, members.state))
+            _append(state, MEMBERS_STREAM, encoded)
+        state.members_snapshot = snapshots.waited(state.members_snapshot, now)
+
+
+def _append(state: KeeperState, stream: str, record: bytes) -> None:
+    state.writer.tell(AppendRecord(stream, record))
+
+
+_HANDLERS: Handlers[KeeperState] = {
     LogRecords: _log_records,
+    LogHealth: _log_health,
+    AskPosition: _ask_position,
     BackendAnnounced: _announced,
     BackendLeaving: _leaving,
+    NodeStopping: _node_stopping,
+    PeerNews: _peer_news,
+    PeersAsked: _peers_asked,
+    MemberSilent: _member_silent,
+    AskDigest: _ask_digest,
+    AskKnowledge: _ask_knowledge,
     AskStatus: _ask_status,
 }
--- a/src/_masticspoke/decisions/catalogue.py
+++ b/src/_masticspoke/decisions/catalogue.py
@@ -30,15 +30,42 @@
 @final
 @dataclass(frozen=True, slots=True)
 class CatalogueState:
-    """The catalogue in force and the id of the change that made it."""
+    """A catalogue version and the change that made it.
+
+    :param offset: log offset of that change's record; -1 for the empty catalogue.
+    """
 
     catalogue: Catalogue = EMPTY_CATALOGUE
     change_id: str = ""
+    offset: int = -1
+    author: str = ""
 
 
-def reduce_change(state: CatalogueState, change: Change) -> CatalogueState:
-    """Return the state after a record; unchanged if the record lost its race."""
-    if change.made_from != state.catalogue.version:
+def reduce_change(state: CatalogueState, change: Change, offset: int) -> CatalogueState:
+    """Return the state after a record; the same object if the record lost its race.
+
+    :param offset: log offset of the record.
+    """
+    if change.made_from != state.catalogue.version or not is_consistent(
+        change.catalogue
+    ):
         return state
     version = state.catalogue.version + 1
-    return CatalogueState(replace(change.catalogue, version=version), change.change_id)
+    catalogue = replace(change.catalogue, version=version)
+    return CatalogueState(catalogue, change.change_id, offset, change.author)
+
+
+def newest(first: CatalogueState, second: CatalogueState) -> CatalogueState:
+    """Return the state with the higher version; the first one if they are equal."""
+    if second.catalogue.version > first.catalogue.version:
+        return second
+    return first
+
+
+def is_consistent(catalogue: Catalogue) -> bool:
+    """Return whether every entry refers to a class and takes that class's rank."""
+    ranks = {c.name: c.rank for c in catalogue.classes}
+    kinds = {e.kind for e in catalogue.entries}
+    return len(kinds) == len(catalogue.entries) and all(
+        ranks.get(e.class_name) == e.rank for e in catalogue.entries
+    )
--- a/src/_masticspoke/entry/announcements.py
+++ b/src/_masticspoke/entry/announcements.py
@@ -30,7 +30,6 @@
     keeper: Mailbox[KeeperMessage],
     node: Address,
     zone: str,
-    incarnation: str,
     calls: Handler,
 ) -> Handler:
     """Return the handler of the backend address.
@@ -42,7 +41,7 @@
         if (request.content_length or 0) > _MAX_BYTES:
             return _refuse(f"announcement longer than {_MAX_BYTES} bytes")
         try:
-            found = decode_announcement(await request.read(), node, zone, incarnation)
+            found = decode_announcement(await request.read(), node, zone)
         except ValidationError as error:
             return _refuse(f"{error.error_count()} faults in the announcement")
         return _told(keeper.tell(BackendAnnounced(found.member, found.ttl_s)))
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -40,6 +40,7 @@
     BACKEND_LEAVING = EventSpec(3002, "INFO", "backend server is leaving")
     BACKEND_LAPSED = EventSpec(3003, "WARNING", "backend server stopped renewing")
     ANNOUNCEMENT_REFUSED = EventSpec(3004, "WARNING", "announcement refused")
+    MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
 
 
 def log_event(event: Event, **fields: object) -> None:
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -23,9 +23,14 @@
 from _masticspoke.connections import connection_owner
 from _masticspoke.control.keeper import keeper
 from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.knowledge import KeeperState
+from _masticspoke.control.knowledge import Published
 from _masticspoke.control.log_reader import log_reader
 from _masticspoke.control.log_writer import log_writer
 from _masticspoke.control.log_writer import WriterMessage
+from _masticspoke.decisions.incarnation import first_incarnation
+from _masticspoke.decisions.own_backend import OwnBackend
+from _masticspoke.decisions.snapshots import SnapshotPolicy
 from _masticspoke.dispatch.conduct import DispatchPort
 from _masticspoke.dispatch.router import router
 from _masticspoke.dispatch.router import RouterMessage
@@ -104,7 +109,7 @@
     capacity = settings.limits.mailbox_messages
     return _Parts(
         settings=settings,
-        incarnation=secrets.token_hex(8),
+        incarnation=first_incarnation(int(time.time() * 1000), secrets.token_hex(4)),
         router=Mailbox(capacity),
         gate=Mailbox(capacity),
         keeper=Mailbox(capacity),
@@ -134,16 +139,21 @@
     wait_s = log.poll_wait_ms / 1000
     pause_s = log.retry_pause_ms / 1000
 
-    def publish(
-        message: CatalogueChanged | MembersChanged | BackendAnnounced | BackendLeaving,
-    ) -> None:
+    def publish(message: Published) -> None:
         if isinstance(message, CatalogueChanged | MembersChanged):
             parts.router.tell(message)
-        if not isinstance(message, MembersChanged):
+        if isinstance(message, CatalogueChanged | BackendAnnounced | BackendLeaving):
             parts.gate.tell(message)
         if isinstance(message, CatalogueChanged):
             parts.recorder.tell(message)
 
+    known = KeeperState(
+        parts.writer,
+        publish,
+        OwnBackend(parts.settings.node.peer_address, parts.incarnation),
+        SnapshotPolicy(log.snapshot_records, log.snapshot_interval_s),
+    )
+
     def reader(stream: str) -> ChildBody:
         return log_reader(
             parts.keeper,
@@ -155,13 +165,18 @@
             pause_s,
         )
 
-    writer = log_writer(parts.writer, parts.to_log, log.address, timeout_s, pause_s)
+    writer = log_writer(
+        parts.writer,
+        parts.to_log,
+        log.address,
+        timeout_s,
+        pause_s,
+        parts.keeper.tell,
+    )
     children = (
         ChildSpec("connections", connection_owner(parts.to_log, timeout_s), 1.0),
         ChildSpec("log_writer", writer),
-        ChildSpec(
-            "keeper", keeper(parts.keeper, parts.writer, publish, time.monotonic)
-        ),
+        ChildSpec("keeper", keeper(parts.keeper, known, time.monotonic)),
         ChildSpec("catalogue_reader", reader(CATALOGUE_STREAM)),
         ChildSpec("members_reader", reader(MEMBERS_STREAM)),
     )
@@ -198,7 +213,6 @@
         parts.keeper,
         node.peer_address,
         node.zone,
-        parts.incarnation,
         client_handler(port, buffer_bytes, from_backend=True),
     )
     peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
