Let nodes tell each other catalogue and members over the peer port

Ruled out: heartbeats in the log (appends grow with nodes, not with changes); one watcher alone (its own isolation would look like everybody's death). Change: control/gossip.py exchanges digests with two watched ring neighbours and one random partner a second; whoever is behind fetches; silence counts after three rounds and a second node's confirmation; hints serve routing only. A node acts on no catalogue before it read the log to its end, or found it down and heard a peer.

--- a/src/_masticspoke/border/settings.py
+++ b/src/_masticspoke/border/settings.py
@@ -58,6 +58,8 @@
     """Nodes that this node asks first when it knows nothing yet."""
 
     seeds: Annotated[tuple[Address, ...], BeforeValidator(_address_list)] = ()
+    gossip_interval_ms: int = Field(default=1_000, ge=250, le=60_000)
+    request_timeout_ms: int = Field(default=500, gt=0, le=60_000)
 
 
 @final
--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -138,6 +138,7 @@
         log_event(Event.LOG_UNAVAILABLE, source=message.source, fault=message.fault)
     if turn is Turn.BACK:
         log_event(Event.LOG_AVAILABLE, source=message.source)
+    _ready_without_log(state)
 
 
 def _announced(state: KeeperState, message: BackendAnnounced, now: float) -> None:
@@ -180,7 +181,12 @@
 
 
 def _peers_asked(state: KeeperState, message: PeersAsked, now: float) -> None:
-    if not state.log.available:
+    state.peers_asked = True
+    _ready_without_log(state)
+
+
+def _ready_without_log(state: KeeperState) -> None:
+    if state.peers_asked and not state.log.available:
         mark_ready(state)
 
 
--- a/src/_masticspoke/control/knowledge.py
+++ b/src/_masticspoke/control/knowledge.py
@@ -68,6 +68,7 @@
     members_snapshot: SnapshotClock = field(default_factory=SnapshotClock)
     catalogue: CatalogueState = field(default_factory=CatalogueState)
     ready: bool = False
+    peers_asked: bool = False
     hints: HintsState = field(default_factory=HintsState)
     routing: tuple[Member, ...] = ()
     log: LogState = field(default_factory=LogState)
--- a/src/_masticspoke/control/log_reader.py
+++ b/src/_masticspoke/control/log_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from random import Random
 
 from _masticspoke.control.keeper import KeeperMessage
@@ -17,6 +16,7 @@
 from _masticspoke.platform.log import LogFault
 from _masticspoke.platform.log import read
 from _masticspoke.platform.log import ReadResult
+from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Delivery
@@ -24,7 +24,6 @@
 from _masticspoke.supervise.mailbox import Reply
 
 MAX_PAUSE_S = 2.0
-_KEEPER_TIMEOUT_S = 2.0
 
 
 def log_reader(
@@ -79,9 +78,8 @@
 
 async def _position(keeper: Mailbox[KeeperMessage], stream: str, pause_s: float) -> int:
     while True:
-        question = AskPosition(stream, Reply())
-        if keeper.tell(question) is Delivery.ACCEPTED:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_KEEPER_TIMEOUT_S):
-                    return await question.reply.value()
+        reply: Reply[int] = Reply()
+        offset = await ask(keeper, AskPosition(stream, reply), reply)
+        if offset is not None:
+            return offset
         await asyncio.sleep(pause_s)
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -12,15 +12,14 @@
 from typing import final
 
 import aiomisc
-from aiohttp import web
 
 from _masticspoke.border.paths import METRICS_PATH
-from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.border.records import CATALOGUE_STREAM
 from _masticspoke.border.records import MEMBERS_STREAM
 from _masticspoke.border.settings import Settings
-from _masticspoke.border.status import encode_status
 from _masticspoke.connections import connection_owner
+from _masticspoke.control.gossip import gossip
+from _masticspoke.control.gossip import GossipMessage
 from _masticspoke.control.keeper import keeper
 from _masticspoke.control.keeper import KeeperMessage
 from _masticspoke.control.knowledge import KeeperState
@@ -28,6 +27,8 @@
 from _masticspoke.control.log_reader import log_reader
 from _masticspoke.control.log_writer import log_writer
 from _masticspoke.control.log_writer import WriterMessage
+from _masticspoke.control.peer_client import PeerClient
+from _masticspoke.control.peer_port import control_handlers
 from _masticspoke.decisions.incarnation import first_incarnation
 from _masticspoke.decisions.own_backend import OwnBackend
 from _masticspoke.decisions.snapshots import SnapshotPolicy
@@ -46,7 +47,6 @@
 from _masticspoke.guard.gate import gate
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.run import GuardPort
-from _masticspoke.messages import AskStatus
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
@@ -60,7 +60,6 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
-from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import ChildSpec
 from _masticspoke.supervise.supervisor import supervisor
 
@@ -77,7 +76,9 @@
     keeper: Mailbox[KeeperMessage]
     writer: Mailbox[WriterMessage]
     recorder: Mailbox[RecorderMessage]
+    gossip: Mailbox[GossipMessage]
     to_log: Connections
+    to_peers: Connections
     to_nodes: Connections
     to_backend: Connections
 
@@ -115,7 +116,9 @@
         keeper=Mailbox(capacity),
         writer=Mailbox(capacity),
         recorder=Mailbox(capacity),
+        gossip=Mailbox(capacity),
         to_log=Connections(),
+        to_peers=Connections(),
         to_nodes=Connections(),
         to_backend=Connections(),
     )
@@ -142,6 +145,8 @@
     def publish(message: Published) -> None:
         if isinstance(message, CatalogueChanged | MembersChanged):
             parts.router.tell(message)
+        if isinstance(message, MembersChanged):
+            parts.gossip.tell(message)
         if isinstance(message, CatalogueChanged | BackendAnnounced | BackendLeaving):
             parts.gate.tell(message)
         if isinstance(message, CatalogueChanged):
@@ -174,15 +179,34 @@
         parts.keeper.tell,
     )
     children = (
-        ChildSpec("connections", connection_owner(parts.to_log, timeout_s), 1.0),
+        ChildSpec("log_connections", connection_owner(parts.to_log, timeout_s), 1.0),
+        ChildSpec("peer_connections", connection_owner(parts.to_peers, timeout_s), 1.0),
         ChildSpec("log_writer", writer),
         ChildSpec("keeper", keeper(parts.keeper, known, time.monotonic)),
         ChildSpec("catalogue_reader", reader(CATALOGUE_STREAM)),
         ChildSpec("members_reader", reader(MEMBERS_STREAM)),
+        ChildSpec("gossip", _gossip(parts)),
     )
     return supervisor("control", children, time.monotonic)
 
 
+def _peer_client(parts: _Parts) -> PeerClient:
+    return PeerClient(parts.to_peers, parts.settings.peers.request_timeout_ms / 1000)
+
+
+def _gossip(parts: _Parts) -> ChildBody:
+    peers = parts.settings.peers
+    return gossip(
+        parts.gossip,
+        parts.keeper,
+        _peer_client(parts),
+        parts.settings.node.peer_address,
+        peers.seeds,
+        peers.gossip_interval_ms / 1000,
+        time.monotonic,
+    )
+
+
 def _dispatch(parts: _Parts) -> ChildBody:
     settings = parts.settings
     own = settings.node.peer_address
@@ -232,14 +256,8 @@
 
 
 def _control_handlers(parts: _Parts) -> ControlHandlers:
-    async def status(request: web.BaseRequest) -> web.StreamResponse:
-        question = AskStatus(Reply())
-        parts.keeper.tell(question)
-        body = encode_status(await question.reply.value())
-        return web.Response(body=body, content_type="application/json")
-
     return {
-        ("GET", STATUS_PATH): status,
+        **control_handlers(parts.keeper, parts.gossip, _peer_client(parts)),
         ("GET", METRICS_PATH): metrics_handler(parts.recorder),
     }
 
--- a/testing/docs/test_events_page.py
+++ b/testing/docs/test_events_page.py
@@ -1,9 +1,10 @@
 from __future__ import annotations
 
-from _masticspoke.events import Event
 from testing.docs.pages import rows
 from testing.docs.pages import text
 
+from _masticspoke.events import Event
+
 
 def test_page_and_code_list_the_same_events() -> None:
     listed = [(int(n), level, words) for n, level, words, _ in events()]
