Settle catalogue changes by their id; show and list them

Ruled out: giving up after one lost answer (the record can be appended again: only one copy can win); a conflict where retention passed over the change.

--- a/src/_masticspoke/border/catalogue_ini.py
+++ b/src/_masticspoke/border/catalogue_ini.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import final
 
@@ -13,8 +14,8 @@
 from pydantic import ValidationError
 
 from _masticspoke.border.fields import BorderModel
-from _masticspoke.border.ini import fault_texts
 from _masticspoke.border.ini import parse_sections
+from _masticspoke.border.ini import section_fault_texts
 from _masticspoke.border.ini import Sections
 from _masticspoke.errors import SettingsError
 from _masticspoke.model import Catalogue
@@ -76,6 +77,7 @@
         if name.partition(" ")[0] not in {"class", "entry"}
     ]
     faults += _floor_faults(classes)
+    faults += _match_faults(entries)
     if faults:
         raise SettingsError(
             "; ".join(_with_line(fault, text, source) for fault in faults),
@@ -92,7 +94,7 @@
         try:
             model = ClassSection.model_validate(keys)
         except ValidationError as error:
-            faults += _faults_of(f"class {name}", error)
+            faults += section_fault_texts(f"class {name}", error)
             continue
         found.append(ClassSpec(name, model.rank, model.floor_percent))
     ranks = [c.rank for c in found]
@@ -113,7 +115,7 @@
         try:
             model = EntrySection.model_validate(keys)
         except ValidationError as error:
-            faults += _faults_of(f"entry {kind}", error)
+            faults += section_fault_texts(f"entry {kind}", error)
             continue
         if model.class_ not in ranks:
             faults.append(f"[entry {kind}] class: no section [class {model.class_}]")
@@ -134,6 +136,54 @@
     return [f"[class {classes[-1].name}] floor_percent: floors sum to {total:g} > 100"]
 
 
+def _match_faults(entries: tuple[Entry, ...]) -> list[str]:
+    first: dict[tuple[str, str], str] = {}
+    faults: list[str] = []
+    for entry in entries:
+        earlier = first.setdefault((entry.method, entry.path), entry.kind)
+        if earlier != entry.kind:
+            faults.append(
+                f"[entry {entry.kind}] path: never matched, since [entry {earlier}] "
+                "has the same method and path"
+            )
+    return faults
+
+
+def format_catalogue(catalogue: Catalogue) -> str:
+    """Return the INI text of a catalogue."""
+    sections = [_class_text(c) for c in catalogue.classes]
+    sections += [_entry_text(e) for e in catalogue.entries]
+    return "\n".join(sections)
+
+
+def _class_text(spec: ClassSpec) -> str:
+    keys = {"rank": spec.rank, "floor_percent": spec.floor_percent}
+    return _section_text(f"class {spec.name}", keys)
+
+
+def _entry_text(entry: Entry) -> str:
+    keys = {
+        "class" if name == "class_" else name: getattr(
+            entry, "class_name" if name == "class_" else name
+        )
+        for name in EntrySection.model_fields
+    }
+    return _section_text(f"entry {entry.kind}", keys)
+
+
+def _section_text(name: str, keys: Mapping[str, object]) -> str:
+    lines = [f"{key} = {_value_text(value)}" for key, value in keys.items()]
+    return "\n".join([f"[{name}]", *lines, ""])
+
+
+def _value_text(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return str(value)
+
+
 def _named(sections: Sections, prefix: str) -> list[tuple[str, dict[str, str]]]:
     return [
         (name.partition(" ")[2].strip(), keys)
@@ -142,13 +192,6 @@
     ]
 
 
-def _faults_of(section: str, error: ValidationError) -> list[str]:
-    return [
-        f"[{section}] {text.removeprefix('[').replace('] ', '', 1)}"
-        for text in fault_texts(error)
-    ]
-
-
 def _with_line(fault: str, text: str, source: str) -> str:
     header, _, rest = fault.partition("]")
     key = rest.strip().partition(":")[0]
--- a/src/_masticspoke/border/ini.py
+++ b/src/_masticspoke/border/ini.py
@@ -61,6 +61,13 @@
     return [_fault_text(fault["loc"], fault["msg"]) for fault in error.errors()]
 
 
+def section_fault_texts(section: str, error: ValidationError) -> list[str]:
+    """Return a line for each fault of a model that stands for one section."""
+    return [
+        _fault_text((section, *fault["loc"]), fault["msg"]) for fault in error.errors()
+    ]
+
+
 def _fault_text(location: tuple[int | str, ...], message: str) -> str:
     section, *keys = (str(part) for part in location) if location else ("file",)
     place = f"[{section}] {'.'.join(keys)}".strip()
@@ -70,5 +77,11 @@
 
 _FAULT_WORDS = {
     "Extra inputs are not permitted": "unknown key; see the settings reference",
+    "Input should be a valid integer, unable to parse string as an integer": (
+        "expected a whole number, without a unit"
+    ),
+    "Input should be a valid number, unable to parse string as a number": (
+        "expected a number, without a unit"
+    ),
     "Field required": "missing; this key is required",
 }
--- a/src/_masticspoke/cli/main.py
+++ b/src/_masticspoke/cli/main.py
@@ -10,6 +10,8 @@
 
 from _masticspoke.cli.catalogue import apply_catalogue
 from _masticspoke.cli.catalogue import check_catalogue
+from _masticspoke.cli.catalogue import show_catalogue
+from _masticspoke.cli.catalogue import show_history
 from _masticspoke.cli.node import start_node
 from _masticspoke.cli.status import show_status
 from _masticspoke.errors import MasticspokeError
@@ -37,6 +39,9 @@
     node.set_defaults(command=start_node)
     status = commands.add_parser("status", help="show what a node knows")
     status.add_argument("node", help="peer address, IP:PORT")
+    status.add_argument(
+        "--all", action="store_true", help="ask every node that this one knows, too"
+    )
     status.add_argument("--json", action="store_true", help="print JSON")
     status.set_defaults(command=show_status)
     _add_catalogue(
@@ -53,4 +58,23 @@
     apply = commands.add_parser("apply", help="put a catalogue file in force")
     apply.add_argument("file", type=Path)
     apply.add_argument("--log", required=True, help="log service, IP:PORT")
+    apply.add_argument(
+        "--made-from",
+        type=int,
+        metavar="VERSION",
+        help="version that the file was edited from; the default is the one in force",
+    )
+    apply.add_argument("--author", help="who made the change; default: the user")
+    apply.add_argument("--json", action="store_true", help="print JSON")
     apply.set_defaults(command=apply_catalogue)
+    show = commands.add_parser("show", help="print the catalogue in force")
+    source = show.add_mutually_exclusive_group(required=True)
+    source.add_argument("--log", help="log service, IP:PORT")
+    source.add_argument("--node", help="peer address of a node, IP:PORT")
+    show.add_argument("--json", action="store_true", help="print JSON")
+    show.set_defaults(command=show_catalogue)
+    history = commands.add_parser("history", help="list changes, or settle one")
+    history.add_argument("--log", required=True, help="log service, IP:PORT")
+    history.add_argument("--change", metavar="ID", help="only this change")
+    history.add_argument("--json", action="store_true", help="print JSON lines")
+    history.set_defaults(command=show_history)
--- a/src/_masticspoke/cli/status.py
+++ b/src/_masticspoke/cli/status.py
@@ -1,48 +1,74 @@
-"""``masticspoke status``: show what a node knows."""
+"""``masticspoke status``: show what one node, or each that it knows, knows."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import json
+import sys
 
-import aiohttp
-
-from _masticspoke.border.fields import parse_address
-from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.border.status import decode_status
+from _masticspoke.cli.log_access import address_option
+from _masticspoke.cli.node_access import ask_fleet
+from _masticspoke.control.peer_client import PeerFault
 from _masticspoke.errors import NodeUnavailableError
-from _masticspoke.errors import SettingsError
+from _masticspoke.messages import NodeStatus
 from _masticspoke.model import Address
 
-_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
-_REMEDY = "check the address and that the node runs"
-
 
 def show_status(options: argparse.Namespace) -> int:
-    """Print a node's status."""
-    try:
-        address = parse_address(options.node)
-    except ValueError as error:
-        raise SettingsError(f"{options.node}: {error}", "correct it") from None
-    body = asyncio.run(_fetch(address))
+    """Print a node's status, or that of all nodes that it knows.
+
+    :return: the exit code of :class:`NodeUnavailableError` when one of them gives
+        no answer.
+    """
+    node = address_option("node", options.node)
+    status, bodies = asyncio.run(ask_fleet(node, every=options.all))
     if options.json:
-        print(body.decode())
+        _print_json(node, bodies, every=options.all)
+    elif options.all:
+        for address, body in bodies.items():
+            print(_line(address, body))
+    else:
+        _print_status(status)
+    silent = [a for a, body in bodies.items() if isinstance(body, PeerFault)]
+    if not silent:
         return 0
-    status = decode_status(body)
-    if status is None:
-        raise NodeUnavailableError(f"{address} sent no status", _REMEDY)
+    print(
+        f"masticspoke: {len(silent)} of {len(bodies)} nodes gave no answer; "
+        "check that they run",
+        file=sys.stderr,
+    )
+    return NodeUnavailableError.exit_code
+
+
+def _print_json(
+    node: Address, bodies: dict[Address, bytes | PeerFault], *, every: bool
+) -> None:
+    found = {
+        str(address): {"fault": body.value}
+        if isinstance(body, PeerFault)
+        else json.loads(body)
+        for address, body in bodies.items()
+    }
+    print(json.dumps(found if every else found[str(node)]))
+
+
+def _print_status(status: NodeStatus) -> None:
     print(f"catalogue version {status.catalogue_version}")
     for member in status.members:
         print(f"{member.service} {member.backend} node {member.node} {member.zone}")
-    return 0
-
-
-async def _fetch(address: Address) -> bytes:
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=_TIMEOUT) as session,
-            session.get(f"http://{address}{STATUS_PATH}") as response,
-        ):
-            return await response.read()
-    except (aiohttp.ClientError, TimeoutError) as error:
-        raise NodeUnavailableError(f"{address}: {error!r}", _REMEDY) from error
+
+
+def _line(node: Address, body: bytes | PeerFault) -> str:
+    if isinstance(body, PeerFault):
+        return f"{node} no answer: {body.value}"
+    status = decode_status(body)
+    if status is None:
+        return f"{node} no answer: {PeerFault.MALFORMED.value}"
+    own = [m for m in status.members if m.node == node]
+    service = own[0].service if own else "no backend server"
+    return (
+        f"{node} {service} catalogue version {status.catalogue_version} "
+        f"members {len(status.members)}"
+    )
--- a/src/_masticspoke/control/peer_client.py
+++ b/src/_masticspoke/control/peer_client.py
@@ -24,6 +24,7 @@
 from _masticspoke.border.paths import MEMBERS_PATH
 from _masticspoke.border.paths import PING_PATH
 from _masticspoke.border.paths import PROBE_PATH
+from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.hints import Hint
 from _masticspoke.exchange import Connections
@@ -31,6 +32,7 @@
 from _masticspoke.model import Address
 
 T = TypeVar("T")
+MAX_STATUS_BYTES = 16 * 2**20
 
 
 @final
@@ -80,6 +82,12 @@
     return _decoded(body, decode_page)
 
 
+async def fetch_status(client: PeerClient, node: Address) -> bytes | PeerFault:
+    """Return a node's status as it was sent."""
+    url = f"http://{node}{STATUS_PATH}"
+    return await _request(client, "GET", url, MAX_STATUS_BYTES)
+
+
 async def ping(client: PeerClient, node: Address) -> bool:
     """Return whether a node answers."""
     url = f"http://{node}{PING_PATH}"
