--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -39,6 +39,7 @@
 from _masticspoke.entry.clients import client_handler
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.listener import listener
+from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.entry.peers import peer_handler
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
@@ -129,7 +130,6 @@
         "gate": parts.gate,
         "keeper": parts.keeper,
         "writer": parts.writer,
-        "gossip": parts.gossip,
         "recorder": parts.recorder,
     }
     body = recorder(parts.recorder, mailboxes, time.monotonic)
@@ -239,11 +239,7 @@
         node.zone,
         client_handler(port, buffer_bytes, from_backend=True),
     )
-    control = {
-        **control_handlers(parts.keeper, parts.gossip, _peer_client(parts)),
-        ("GET", METRICS_PATH): metrics_handler(parts.recorder),
-    }
-    peers = peer_handler(guard_port, buffer_bytes, control)
+    peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
     clients = client_handler(port, buffer_bytes, from_backend=False)
 
     def listening(port: Port, address: Address, handler: Handler) -> ChildSpec:
@@ -259,6 +255,13 @@
     return supervisor("entry", children, time.monotonic)
 
 
+def _control_handlers(parts: _Parts) -> ControlHandlers:
+    return {
+        **control_handlers(parts.keeper, parts.gossip, _peer_client(parts)),
+        ("GET", METRICS_PATH): metrics_handler(parts.recorder),
+    }
+
+
 def run_node(settings: Settings) -> None:
     """Run a node until SIGTERM or SIGINT."""
 
