Count log faults, and bring the pages in line with control

The interfaces test now looks for paths and headers in the whole package, as control keeps its paths beside its client.

--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -138,6 +138,8 @@
         log_event(Event.LOG_UNAVAILABLE, source=message.source, fault=message.fault)
     if turn is Turn.BACK:
         log_event(Event.LOG_AVAILABLE, source=message.source)
+    if message.fault:
+        state.publish(message)
     _ready_without_log(state)
 
 
--- a/src/_masticspoke/control/knowledge.py
+++ b/src/_masticspoke/control/knowledge.py
@@ -29,6 +29,7 @@
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import LogHealth
 from _masticspoke.messages import LogRecords
 from _masticspoke.messages import MembersChanged
 from _masticspoke.messages import ViewsChanged
@@ -42,6 +43,7 @@
     | LogRecords
     | BackendAnnounced
     | BackendLeaving
+    | LogHealth
 )
 Publish = Callable[[Published], None]
 
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -86,7 +86,7 @@
         "masticspoke_log_faults_total",
         MetricType.COUNTER,
         "Requests to the log service that got no good answer.",
-        ("operation",),
+        ("task",),
     )
     MAILBOX_FULL = MetricSpec(
         "masticspoke_mailbox_full_total",
--- a/src/_masticspoke/metrics/recorder.py
+++ b/src/_masticspoke/metrics/recorder.py
@@ -12,6 +12,7 @@
 
 from _masticspoke.events import counted_events
 from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import LogHealth
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.account import RequestAccount
 from _masticspoke.metrics.account import RequestEnded
@@ -43,17 +44,6 @@
     number: int
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class LogRequestFailed:
-    """Control to recorder: the log service gave no good answer.
-
-    :param operation: ``append`` or ``read``.
-    """
-
-    operation: str
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class AskMetrics:
@@ -62,9 +52,7 @@
     reply: Reply[tuple[Sample | Summary, ...]]
 
 
-RecorderMessage = (
-    RequestEnded | EventLogged | LogRequestFailed | CatalogueChanged | AskMetrics
-)
+RecorderMessage = RequestEnded | EventLogged | LogHealth | CatalogueChanged | AskMetrics
 Mailboxes = Mapping[str, Mailbox[Any]]
 
 
@@ -156,10 +144,9 @@
     _count(state, Metric.EVENTS, str(message.number))
 
 
-def _log_request_failed(
-    state: _RecorderState, message: LogRequestFailed, now: float
-) -> None:
-    _count(state, Metric.LOG_FAULTS, message.operation)
+def _log_health(state: _RecorderState, message: LogHealth, now: float) -> None:
+    if message.fault:
+        _count(state, Metric.LOG_FAULTS, message.source)
 
 
 def _catalogue_changed(
@@ -201,7 +188,7 @@
 _HANDLERS: Handlers[_RecorderState] = {
     RequestEnded: _request_ended,
     EventLogged: _event_logged,
-    LogRequestFailed: _log_request_failed,
+    LogHealth: _log_health,
     CatalogueChanged: _catalogue_changed,
     AskMetrics: _ask_metrics,
 }
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -49,6 +49,7 @@
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import LogHealth
 from _masticspoke.messages import MembersChanged
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.measure import measured
@@ -149,7 +150,7 @@
             parts.gossip.tell(message)
         if isinstance(message, CatalogueChanged | BackendAnnounced | BackendLeaving):
             parts.gate.tell(message)
-        if isinstance(message, CatalogueChanged):
+        if isinstance(message, CatalogueChanged | LogHealth):
             parts.recorder.tell(message)
 
     known = KeeperState(
--- a/testing/docs/test_interfaces_page.py
+++ b/testing/docs/test_interfaces_page.py
@@ -9,7 +9,7 @@
 from testing.docs.pages import column
 from testing.docs.pages import text
 
-import _masticspoke.border
+import _masticspoke
 from _masticspoke.border.announcement import AnnouncementModel
 from _masticspoke.border.headers import CallModel
 from _masticspoke.border.headers import ReportModel
@@ -19,16 +19,15 @@
 SUFFIXES = ("_HEADER", "_PATH", "_PREFIX", "_STREAM")
 
 
-def border_modules() -> list[ModuleType]:
-    package = _masticspoke.border
-    names = [info.name for info in pkgutil.iter_modules(package.__path__)]
-    return [importlib.import_module(f"{package.__name__}.{name}") for name in names]
+def modules() -> list[ModuleType]:
+    found = pkgutil.walk_packages(_masticspoke.__path__, "_masticspoke.")
+    return [importlib.import_module(info.name) for info in found]
 
 
 def constants() -> dict[str, str]:
     return {
         name: value
-        for module in border_modules()
+        for module in modules()
         for name, value in vars(module).items()
         if name.endswith(SUFFIXES) and not name.startswith("_")
     }
@@ -43,7 +42,7 @@
     value = constants()[name]
     page = text("INTERFACES.md")
 
-    assert f"`{value}`" in page or f" {value}`" in page
+    assert any(f"{before}{value}{after}" in page for before in "` " for after in "`?")
 
 
 def test_problem_type_is_on_the_page() -> None:
--- a/testing/metrics/test_recorder.py
+++ b/testing/metrics/test_recorder.py
@@ -6,6 +6,7 @@
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
 from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import LogHealth
 from _masticspoke.metrics.account import Outcome
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.account import RequestAccount
@@ -14,7 +15,6 @@
 from _masticspoke.metrics.families import Sample
 from _masticspoke.metrics.families import Summary
 from _masticspoke.metrics.recorder import AskMetrics
-from _masticspoke.metrics.recorder import LogRequestFailed
 from _masticspoke.metrics.recorder import MAX_SERIES
 from _masticspoke.metrics.recorder import recorder
 from _masticspoke.metrics.recorder import RecorderMessage
@@ -88,9 +88,9 @@
 
 
 def test_events_and_log_faults_are_counted() -> None:
-    found = asyncio.run(told([LogRequestFailed("append")]))
+    found = asyncio.run(told([LogHealth("writer", "lost"), LogHealth("writer")]))
 
-    assert found[Metric.LOG_FAULTS, "append"] == 1
+    assert found[Metric.LOG_FAULTS, "writer"] == 1
     assert found[Metric.EVENTS, "1001"] == 1
 
 
