--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(BIN)/pip install --quiet --quiet --disable-pip-version-check --editable '.[dev]'
 	touch $@
 
-.PHONY: test check format check-shape pytest demo bench capacity soak latency
+.PHONY: test check format check-shape changelog pytest demo bench capacity soak latency
 test: check check-shape pytest
 
 check: .venv/.installed
@@ -22,6 +22,9 @@
 check-shape: .venv/.installed
 	$(BIN)/python -m testing.shape.check_shape src/_masticspoke src/masticspoke
 
+changelog: .venv/.installed
+	$(BIN)/python -m testing.docs.changelog
+
 demo: .venv/.installed
 	$(BIN)/python -m testing.live.demo
 
