Let restarted tasks learn again what is in force

Cause: a router or gate that crashed was restarted with empty state and refused all requests until the catalogue or the members happened to change. Ruled out: state that outlives the task, since what made it crash may be in it. Change: a task that starts asks the keeper to publish catalogue, members and the own backend server again. Conclusion: a crash of one task costs the message in hand.

--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -16,6 +16,7 @@
 from _masticspoke.control.knowledge import apply_hints
 from _masticspoke.control.knowledge import KeeperState
 from _masticspoke.control.knowledge import mark_ready
+from _masticspoke.control.knowledge import republish
 from _masticspoke.decisions import own_backend
 from _masticspoke.decisions import snapshots
 from _masticspoke.decisions.catalogue import newest
@@ -45,6 +46,7 @@
 from _masticspoke.messages import NodeStopping
 from _masticspoke.messages import PeerNews
 from _masticspoke.messages import PeersAsked
+from _masticspoke.messages import Resend
 from _masticspoke.messages import ViewsChanged
 from _masticspoke.model import LoadReport
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -67,6 +69,7 @@
     | AskDigest
     | AskKnowledge
     | AskStatus
+    | Resend
 )
 _TICK_S = 0.25
 
@@ -261,6 +264,10 @@
     state.writer.tell(AppendRecord(stream, record))
 
 
+def _resend(state: KeeperState, message: Resend, now: float) -> None:
+    republish(state, now)
+
+
 _HANDLERS: Handlers[KeeperState] = {
     LogRecords: _log_records,
     LogHealth: _log_health,
@@ -274,4 +281,5 @@
     AskDigest: _ask_digest,
     AskKnowledge: _ask_knowledge,
     AskStatus: _ask_status,
+    Resend: _resend,
 }
--- a/src/_masticspoke/control/knowledge.py
+++ b/src/_masticspoke/control/knowledge.py
@@ -99,6 +99,15 @@
         _put_in_force(state)
 
 
+def republish(state: KeeperState, now: float) -> None:
+    """Publish again what is in force, for a task that lost its state in a crash."""
+    if state.ready and state.catalogue.catalogue.version > 0:
+        state.publish(CatalogueChanged(state.catalogue.catalogue))
+    state.publish(MembersChanged(state.routing))
+    if state.own.member is not None:
+        state.publish(BackendAnnounced(state.own.member, state.own.expires - now))
+
+
 def _put_in_force(state: KeeperState) -> None:
     catalogue = state.catalogue.catalogue
     log_event(
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -58,6 +58,12 @@
     ttl_s: float
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Resend:
+    """A task to the keeper: publish what is in force again, this task starts anew."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class BackendLeaving:
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -52,6 +52,7 @@
 from _masticspoke.messages import CatalogueChanged
 from _masticspoke.messages import LogHealth
 from _masticspoke.messages import MembersChanged
+from _masticspoke.messages import Resend
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.measure import measured
 from _masticspoke.metrics.measure import metrics_handler
@@ -212,9 +213,10 @@
     settings = parts.settings
     own = settings.node.peer_address
     connect_s = settings.limits.connect_timeout_ms / 1000
+    route = router(parts.router, time.monotonic, own, Random())
     children = (
         ChildSpec("connections", connection_owner(parts.to_nodes, connect_s), 1.0),
-        ChildSpec("router", router(parts.router, time.monotonic, own, Random())),
+        ChildSpec("router", _informed(parts, route)),
     )
     return supervisor("dispatch", children, time.monotonic)
 
@@ -222,13 +224,24 @@
 def _guard(parts: _Parts) -> ChildBody:
     limits = parts.settings.limits
     connect_s = limits.connect_timeout_ms / 1000
+    admit = gate(parts.gate, time.monotonic, limits.queue_calls)
     children = (
         ChildSpec("connections", connection_owner(parts.to_backend, connect_s), 1.0),
-        ChildSpec("gate", gate(parts.gate, time.monotonic, limits.queue_calls)),
+        ChildSpec("gate", _informed(parts, admit)),
     )
     return supervisor("guard", children, time.monotonic)
 
 
+def _informed(parts: _Parts, body: ChildBody) -> ChildBody:
+    """Return a body that, each time it starts, asks for what is in force."""
+
+    async def run(life: Lifecycle) -> None:
+        parts.keeper.tell(Resend())
+        await body(life)
+
+    return run
+
+
 def _entry(parts: _Parts) -> ChildBody:
     node = parts.settings.node
     buffer_bytes = parts.settings.limits.body_buffer_bytes
--- a/testing/standins/log_service.py
+++ b/testing/standins/log_service.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import sys
 import time
 from dataclasses import asdict
@@ -31,6 +32,9 @@
     records: list[str] = field(default_factory=list)
     grown: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def append_bytes(self, record: bytes) -> None:
+        self.records.append(base64.b64encode(record).decode())
+
     @property
     def next(self) -> int:
         return self.oldest + len(self.records)
