--- a/src/_masticspoke/border/headers.py
+++ b/src/_masticspoke/border/headers.py
@@ -22,6 +22,7 @@
 REPORT_HEADER = "Masticspoke-Report"
 DEADLINE_HEADER = "Masticspoke-Deadline-Ms"
 REFUSED_HEADER = "Masticspoke-Refused"
+RAN_HEADER = "Masticspoke-Ran"
 KEY_HEADER = "Idempotency-Key"
 TRACE_HEADER = "traceparent"
 
@@ -40,17 +41,8 @@
         "expect",
     }
 )
-_OWN = frozenset(
-    name.lower()
-    for name in (
-        CALL_HEADER,
-        REPORT_HEADER,
-        REFUSED_HEADER,
-        DEADLINE_HEADER,
-        TRACE_HEADER,
-    )
-)
-_DROPPED = HOP_BY_HOP | _OWN
+_DROPPED = HOP_BY_HOP | {TRACE_HEADER}
+_OWN_PREFIX = "masticspoke-"
 _MAX_DEADLINE_MS = 24 * 3_600_000
 _MAX_KEY_LENGTH = 255
 _TRACE = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}")
@@ -72,6 +64,7 @@
     allowance: int = Field(alias="w", default=0, ge=0, le=1_000)
     key: str | None = Field(alias="y", default=None, max_length=_MAX_KEY_LENGTH)
     catalogue_version: int = Field(alias="v", default=0, ge=0)
+    crashes: int = Field(alias="c", default=0, ge=0, le=1_000)
 
 
 @final
@@ -102,6 +95,7 @@
         allowance=call.allowance,
         key=call.key,
         catalogue_version=call.catalogue_version,
+        crashes=call.crashes,
     ).model_dump_json(by_alias=True)
 
 
@@ -129,6 +123,7 @@
         allowance=m.allowance,
         key=m.key,
         catalogue_version=m.catalogue_version,
+        crashes=m.crashes,
     )
 
 
@@ -211,7 +206,27 @@
 
 
 def forwarded(headers: Mapping[str, str]) -> CIMultiDict[str]:
-    """Return the headers that go on to the next process, repeated ones included."""
+    """Return the headers that go on to the next process, repeated ones included.
+
+    Headers of this system end here, so that no client or backend server can put
+    one in.
+    """
+    named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
     return CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in _DROPPED
+        (name, value)
+        for name, value in headers.items()
+        if _is_forwarded(name.lower(), named)
     )
+
+
+def _is_forwarded(name: str, named_by_connection: set[str]) -> bool:
+    return (
+        name not in _DROPPED
+        and not name.startswith(_OWN_PREFIX)
+        and name not in named_by_connection
+    )
+
+
+def shed_by_backend(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether a backend server says that it did not run a request."""
+    return status == 503 and headers.get(RAN_HEADER) == "no"
--- a/src/_masticspoke/decisions/classify.py
+++ b/src/_masticspoke/decisions/classify.py
@@ -5,6 +5,7 @@
 from _masticspoke.model import Call
 from _masticspoke.model import Catalogue
 from _masticspoke.model import Entry
+from _masticspoke.model import Loan
 from _masticspoke.model import RequestShape
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
@@ -15,7 +16,7 @@
 def classify(
     catalogue: Catalogue,
     shape: RequestShape,
-    parent: Call | None,
+    loan: Loan | None,
     action: str,
     now: float,
 ) -> Call | Refusal:
@@ -23,6 +24,7 @@
 
     A child call takes rank, action and remaining deadline from its parent.
 
+    :param loan: from the running call that this one is a child of.
     :param action: id for the user action if there is no parent.
     """
     if catalogue.version == 0:
@@ -33,11 +35,12 @@
             Reason.UNKNOWN_KIND, detail=f"no entry matches {shape.method} {shape.path}"
         )
     deadline = now + _deadline_ms(entry, shape) / 1000
-    if parent is None:
+    if loan is None:
         return _root_call(catalogue, entry, shape, action, deadline)
+    parent = loan.parent
     if parent.depth + 1 > MAX_DEPTH:
         return Refusal(Reason.LOOP, detail=f"more than {MAX_DEPTH} calls deep")
-    return _child_call(catalogue, entry, shape, parent, min(deadline, parent.deadline))
+    return _child_call(catalogue, entry, shape, loan, min(deadline, parent.deadline))
 
 
 def match_entry(catalogue: Catalogue, method: str, path: str) -> Entry | None:
@@ -85,9 +88,10 @@
     catalogue: Catalogue,
     entry: Entry,
     shape: RequestShape,
-    parent: Call,
+    loan: Loan,
     deadline: float,
 ) -> Call:
+    parent = loan.parent
     return Call(
         action=parent.action,
         kind=entry.kind,
@@ -97,6 +101,7 @@
         idempotent=entry.idempotent,
         shed_last=parent.shed_last or entry.shed_last,
         depth=parent.depth + 1,
+        allowance=loan.amount,
         key=shape.key,
         catalogue_version=catalogue.version,
     )
--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -3,164 +3,171 @@
 from __future__ import annotations
 
 import asyncio
-import time
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import final
 
-import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
-
-from _masticspoke.border.headers import CALL_HEADER
-from _masticspoke.border.headers import decode_report
-from _masticspoke.border.headers import encode_call
-from _masticspoke.border.headers import REFUSED_HEADER
-from _masticspoke.border.headers import REPORT_HEADER
-from _masticspoke.border.problem import decode_problem
+
+from _masticspoke.decisions.handling import Handling
+from _masticspoke.decisions.handling import handling
+from _masticspoke.dispatch.attempt import attempt
+from _masticspoke.dispatch.attempt import Failed
 from _masticspoke.dispatch.router import RouterMessage
 from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
-from _masticspoke.exchange import relay
+from _masticspoke.exchange import outgoing
 from _masticspoke.guard.run import GuardPort
-from _masticspoke.guard.run import run_call
-from _masticspoke.messages import AttemptEnded
 from _masticspoke.messages import AttemptFailed
 from _masticspoke.messages import Begin
-from _masticspoke.messages import NotAdmitted
+from _masticspoke.messages import Borrow
+from _masticspoke.messages import CallEnded
+from _masticspoke.messages import GiveBack
 from _masticspoke.messages import Target
-from _masticspoke.model import Call
-from _masticspoke.model import LoadReport
-from _masticspoke.model import Ran
+from _masticspoke.model import Loan
 from _masticspoke.model import RequestShape
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.supervisor import Clock
 
-Ended = Callable[[LoadReport | None], None]
+Answer = web.StreamResponse | Refusal
+
+
+@final
+@dataclass(slots=True)
+class Conduct:
+    """One request on its way.
+
+    :param loan: from the running call that sent it, if one did.
+    :param sent: the request as it is passed on.
+    :param unused: retries that are certainly not used, nor lent.
+    """
+
+    request: web.BaseRequest
+    loan: Loan | None
+    sent: Outgoing
+    unused: int = 0
+
+
+Serve = Callable[["DispatchPort", Conduct, Target], Awaitable[Answer]]
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class DispatchPort:
-    """What a request's task needs in order to have a request served."""
+    """What a request's task needs in order to have a request served.
+
+    :param buffer_bytes: bodies up to this size can be sent a second time.
+    :param serve: how each kind of handling is done.
+    """
 
     router: Mailbox[RouterMessage]
     connections: Connections
     guard: GuardPort
+    clock: Clock
+    buffer_bytes: int
+    serve: Mapping[Handling, Serve] = field(default_factory=lambda: SERVE)
 
 
 async def conduct(
     port: DispatchPort,
     request: web.BaseRequest,
     shape: RequestShape,
-    parent: Call | None,
-    sent: Outgoing,
-) -> web.StreamResponse | Refusal:
+    loan: Loan | None,
+) -> Answer:
     """Return the answer to a request, already relayed, or why there is none."""
-    target = await _ask(port, Begin(shape, parent, Reply()))
-    while isinstance(target, Target):
-        failed = await _attempt_in_time(port, request, target, sent)
-        if isinstance(failed, web.StreamResponse):
-            return failed
-        if not sent.resendable:
-            return failed.refusal
-        question = AttemptFailed(target, failed.refusal, failed.report, Reply())
-        target = await _ask(port, question)
-        if isinstance(target, Target):
-            sent.account.retried.append(failed.refusal.reason)
-    return target
-
-
-async def _ask(port: DispatchPort, question: Begin | AttemptFailed) -> Target | Refusal:
-    if port.router.tell(question) is Delivery.FULL:
-        return Refusal(Reason.BUSY)
-    return await question.reply.value()
+    first = await _ask(port, Begin(shape, loan, Reply()))
+    if isinstance(first, Refusal):
+        if loan is not None:
+            port.guard.runs.tell(GiveBack(loan, loan.amount, refused=True))
+        return first
+    answer: Answer | None = None
+    held = Conduct(request, loan, Outgoing.empty(), first.attempt.progress.kept)
+    try:
+        answer = await _serve(port, held, first)
+        return answer
+    finally:
+        _give_back(port, held, first, refused=isinstance(answer, Refusal))
 
 
-async def _attempt_in_time(
-    port: DispatchPort, request: web.BaseRequest, target: Target, sent: Outgoing
-) -> web.StreamResponse | NotAdmitted:
+async def _serve(port: DispatchPort, held: Conduct, first: Target) -> Answer:
     try:
-        async with asyncio.timeout(max(0.0, target.call.deadline - time.monotonic())):
-            return await _attempt(port, request, target, sent)
+        async with asyncio.timeout(first.call.deadline - port.clock()):
+            held.sent = await outgoing(held.request, port.buffer_bytes)
     except TimeoutError:
-        refusal = Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN)
-        return NotAdmitted(refusal, LoadReport())
+        failed = Failed(Refusal(Reason.DEADLINE_PASSED, detail="body incomplete"))
+        held.unused += first.call.allowance
+        return await _give_up(port, first, failed)
+    return await port.serve[handling(first.call)](port, held, first)
+
+
+async def attempts(port: DispatchPort, held: Conduct, first: Target) -> Answer:
+    """Send the request until it is answered or the router ends it."""
+    step: Target | Refusal = first
+    while isinstance(step, Target):
+        held.unused = step.attempt.progress.kept
+        result = await attempt(port, held, step)
+        if isinstance(result, web.StreamResponse):
+            return result
+        step = await _after_failure(port, held, step, result)
+    return step
+
+
+async def _after_failure(
+    port: DispatchPort, held: Conduct, target: Target, failed: Failed
+) -> Target | Refusal:
+    held.unused = target.attempt.progress.kept + failed.returned
+    if held.unused == 0 and held.loan is not None:
+        held.unused = await _borrow(port, held.loan)
+    question = AttemptFailed(
+        target=target,
+        refusal=failed.refusal,
+        report=failed.report,
+        returned=held.unused - target.attempt.progress.kept,
+        waited_s=failed.waited_s,
+        resendable=held.sent.resendable,
+        reply=Reply(),
+    )
+    step = await _ask(port, question)
+    if isinstance(step, Target):
+        held.sent.account.retried.append(failed.refusal.reason)
+    return step
+
+
+async def _give_up(port: DispatchPort, target: Target, failed: Failed) -> Refusal:
+    question = AttemptFailed(
+        target, failed.refusal, None, 0, 0.0, resendable=False, reply=Reply()
+    )
+    await _ask(port, question)
+    return failed.refusal
 
 
-async def _attempt(
-    port: DispatchPort, request: web.BaseRequest, target: Target, sent: Outgoing
-) -> web.StreamResponse | NotAdmitted:
-    started = time.monotonic()
-
-    def ended(report: LoadReport | None) -> None:
-        latency_s = time.monotonic() - started
-        port.router.tell(AttemptEnded(target, report, latency_s))
-
-    if target.own:
-        return await _run_here(port, request, target, sent, ended)
-    return await _send_to_node(port, request, target, sent, ended)
-
-
-async def _run_here(
-    port: DispatchPort,
-    request: web.BaseRequest,
-    target: Target,
-    sent: Outgoing,
-    ended: Ended,
-) -> web.StreamResponse | NotAdmitted:
-    async def deliver(
-        upstream: aiohttp.ClientResponse, report: LoadReport
-    ) -> web.StreamResponse:
-        ended(report)
-        return await relay(request, upstream, {})
-
-    return await run_call(port.guard, target.call, sent, deliver)
+async def _ask(port: DispatchPort, question: Begin | AttemptFailed) -> Target | Refusal:
+    if port.router.tell(question) is Delivery.FULL:
+        return Refusal(Reason.BUSY)
+    return await question.reply.value()
 
 
-async def _send_to_node(
-    port: DispatchPort,
-    request: web.BaseRequest,
-    target: Target,
-    sent: Outgoing,
-    ended: Ended,
-) -> web.StreamResponse | NotAdmitted:
-    headers = CIMultiDict(sent.headers)
-    headers[CALL_HEADER] = encode_call(target.call, time.monotonic())
-    sent.account.attempt(target.call)
-    sent.account.wait_began(time.monotonic())
-    try:
-        async with port.connections.session.request(
-            sent.method,
-            f"http://{target.member.node}{sent.target}",
-            headers=headers,
-            data=sent.body or None,
-            allow_redirects=False,
-        ) as upstream:
-            sent.account.wait_ended(time.monotonic())
-            report = decode_report(upstream.headers.get(REPORT_HEADER))
-            if REFUSED_HEADER in upstream.headers:
-                return await _refused(upstream, report)
-            ended(report)
-            return await relay(request, upstream, {})
-    except aiohttp.ClientConnectorError as error:
-        return _failed(Reason.NODE_UNREACHABLE, Ran.NO, error)
-    except (aiohttp.ClientError, ConnectionError) as error:
-        return _failed(Reason.NODE_FAILED, Ran.UNKNOWN, error)
-    finally:
-        sent.account.wait_ended(time.monotonic())
+async def _borrow(port: DispatchPort, loan: Loan) -> int:
+    question = Borrow(loan, Reply())
+    if port.guard.runs.tell(question) is Delivery.FULL:
+        return 0
+    return await question.reply.value()
 
 
-async def _refused(
-    upstream: aiohttp.ClientResponse, report: LoadReport | None
-) -> NotAdmitted:
-    refusal = decode_problem(await upstream.read())
-    unreadable = Refusal(Reason.NODE_FAILED, Ran.UNKNOWN, detail="unreadable refusal")
-    return NotAdmitted(refusal or unreadable, report or LoadReport())
+def _give_back(
+    port: DispatchPort, held: Conduct, first: Target, *, refused: bool
+) -> None:
+    if held.loan is not None:
+        port.guard.runs.tell(GiveBack(held.loan, held.unused, refused))
+    elif first.call.key is not None:
+        port.router.tell(CallEnded(first.call, held.unused, refused))
 
 
-def _failed(reason: Reason, ran: Ran, error: Exception) -> NotAdmitted:
-    return NotAdmitted(Refusal(reason, ran, detail=repr(error)), LoadReport())
+SERVE: Mapping[Handling, Serve] = {Handling.PLAIN: attempts, Handling.KEYED: attempts}
--- a/src/_masticspoke/dispatch/router.py
+++ b/src/_masticspoke/dispatch/router.py
@@ -5,15 +5,29 @@
 import secrets
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from random import Random
 from typing import final
 
+from _masticspoke.decisions import peers
+from _masticspoke.decisions.bucket import record_success
+from _masticspoke.decisions.bucket import RetryBucket
 from _masticspoke.decisions.classify import classify
+from _masticspoke.decisions.peers import Peers
+from _masticspoke.decisions.resends import Actions
+from _masticspoke.decisions.resends import begin_action
+from _masticspoke.decisions.resends import end_action
+from _masticspoke.decisions.retry import Attempt
+from _masticspoke.decisions.retry import backoff_s
+from _masticspoke.decisions.retry import first_attempt
 from _masticspoke.decisions.retry import next_attempt
+from _masticspoke.decisions.retry import truthful
+from _masticspoke.decisions.retry import with_retry_after
 from _masticspoke.decisions.routing import choose_member
 from _masticspoke.messages import AttemptEnded
 from _masticspoke.messages import AttemptFailed
 from _masticspoke.messages import Begin
+from _masticspoke.messages import CallEnded
 from _masticspoke.messages import CatalogueChanged
 from _masticspoke.messages import MembersChanged
 from _masticspoke.messages import Target
@@ -21,8 +35,6 @@
 from _masticspoke.model import Call
 from _masticspoke.model import Catalogue
 from _masticspoke.model import EMPTY_CATALOGUE
-from _masticspoke.model import LoadReport
-from _masticspoke.model import Member
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -32,97 +44,167 @@
 from _masticspoke.supervise.server import serve
 from _masticspoke.supervise.supervisor import Clock
 
-RouterMessage = Begin | AttemptFailed | AttemptEnded | CatalogueChanged | MembersChanged
+RouterMessage = (
+    Begin | AttemptFailed | AttemptEnded | CallEnded | CatalogueChanged | MembersChanged
+)
+# A guard that refuses for one of these is not worse than the others.
+_NOT_FAILURES = frozenset(
+    {
+        Reason.LEAVING,
+        Reason.QUEUE_FULL,
+        Reason.DISPLACED,
+        Reason.RANK_NOT_ADMITTED,
+        Reason.DEADLINE_UNMEETABLE,
+        Reason.ENTRY_LIMIT,
+        Reason.QUARANTINED,
+        Reason.BUSY,
+        Reason.LOOP,
+        Reason.MALFORMED,
+    }
+)
 
 
 @final
 @dataclass(slots=True)
 class _RouterState:
-    own: Address
+    peers: Peers
     random: Random
     catalogue: Catalogue = EMPTY_CATALOGUE
-    members: dict[str, list[Member]] = field(default_factory=dict)
-    loads: dict[Address, LoadReport] = field(default_factory=dict)
+    actions: Actions = field(default_factory=Actions)
+    buckets: dict[str, RetryBucket] = field(default_factory=dict)
 
 
 def router(
-    inbox: Mailbox[RouterMessage], clock: Clock, own: Address, random: Random
+    inbox: Mailbox[RouterMessage],
+    clock: Clock,
+    own: Address,
+    zone: str,
+    random: Random,
 ) -> ChildBody:
     """Return the body of the router's task.
 
     :param own: peer address of this node.
+    :param zone: availability zone of this node.
     """
 
     async def run(life: Lifecycle) -> None:
-        state = _RouterState(own, random)
+        state = _RouterState(Peers(own, zone), random)
         await serve(inbox, state, _HANDLERS, clock, life)
 
     return run
 
 
 def _begin(state: _RouterState, message: Begin, now: float) -> None:
-    action = message.shape.trace.trace_id if message.shape.trace else None
-    call = classify(
-        state.catalogue,
-        message.shape,
-        message.parent,
-        action or secrets.token_hex(16),
-        now,
-    )
+    message.reply.answer(_first_target(state, message, now))
+
+
+def _first_target(state: _RouterState, message: Begin, now: float) -> Target | Refusal:
+    trace = message.shape.trace
+    action = trace.trace_id if trace else secrets.token_hex(16)
+    call = classify(state.catalogue, message.shape, message.loan, action, now)
     if isinstance(call, Refusal):
-        message.reply.answer(call)
-        return
-    message.reply.answer(_target(state, call, frozenset()))
+        return with_retry_after(call, state.random)
+    begun = begin_action(state.actions, call, now)
+    if isinstance(begun, Refusal):
+        return begun
+    target = _target(state, first_attempt(begun), now)
+    if isinstance(target, Refusal):
+        end_action(state.actions, begun, begun.allowance, refused=True)
+        return with_retry_after(target, state.random)
+    return target
+
+
+def _target(state: _RouterState, attempt: Attempt, now: float) -> Target | Refusal:
+    member = choose_member(
+        state.peers, attempt.call, attempt.progress.tried, now, state.random
+    )
+    if isinstance(member, Refusal):
+        return member
+    peers.record_sent(state.peers, member.node)
+    return Target(attempt, member, member.node == state.peers.own)
+
+
+def _attempt_failed(state: _RouterState, message: AttemptFailed, now: float) -> None:
+    _learn_failure(state, message, now)
+    answer = _next_target(state, message, now)
+    if isinstance(answer, Refusal):
+        answer = with_retry_after(answer, state.random)
+    message.reply.answer(answer)
+
 
+def _learn_failure(state: _RouterState, message: AttemptFailed, now: float) -> None:
+    node = message.target.member.node
+    peers.record_ended(state.peers, node)
+    peers.record_report(state.peers, node, message.report, now)
+    if message.refusal.reason is Reason.DEADLINE_PASSED:
+        peers.record_latency(state.peers, node, message.waited_s, now)
+    elif message.refusal.reason not in _NOT_FAILURES:
+        peers.record_failure(state.peers, node, now)
 
-def _target(
-    state: _RouterState, call: Call, tried: frozenset[Address]
+
+def _next_target(
+    state: _RouterState, message: AttemptFailed, now: float
 ) -> Target | Refusal:
-    members = state.members.get(call.service, [])
-    member = choose_member(members, state.loads, tried, state.own, state.random)
-    if member is None:
-        return Refusal(Reason.NO_BACKEND_SERVER, detail=f"service {call.service}")
-    return Target(call, member, member.node == state.own)
+    target, refusal = message.target, message.refusal
+    if not message.resendable:
+        return truthful(refusal, target.attempt.progress)
+    bucket = _bucket(state, target.call)
+    attempt = next_attempt(
+        target.attempt, target.member.node, refusal, message.returned, bucket, now
+    )
+    if isinstance(attempt, Refusal):
+        return attempt
+    found = _target(state, attempt, now)
+    if isinstance(found, Target):
+        return found
+    return _after_pause(state, attempt, now) or truthful(refusal, attempt.progress)
 
 
-def _attempt_failed(state: _RouterState, message: AttemptFailed, now: float) -> None:
-    _learn(state, message.target.member.node, message.report)
-    call = next_attempt(message.target.call, message.refusal, now)
-    if isinstance(call, Refusal):
-        message.reply.answer(call)
-        return
-    tried = frozenset({message.target.member.node})
-    target = _target(state, call, tried)
-    message.reply.answer(message.refusal if isinstance(target, Refusal) else target)
+def _after_pause(state: _RouterState, attempt: Attempt, now: float) -> Target | None:
+    progress = attempt.progress
+    wait_s = backoff_s(progress.rounds, state.random)
+    if now + wait_s >= attempt.call.deadline:
+        return None
+    again = replace(progress, tried=frozenset(), rounds=progress.rounds + 1)
+    found = _target(state, replace(attempt, progress=again), now)
+    return None if isinstance(found, Refusal) else replace(found, wait_s=wait_s)
 
 
 def _attempt_ended(state: _RouterState, message: AttemptEnded, now: float) -> None:
-    _learn(state, message.target.member.node, message.report)
+    node = message.target.member.node
+    peers.record_ended(state.peers, node)
+    if message.answered_at is None:
+        return
+    peers.record_report(state.peers, node, message.report, message.answered_at)
+    peers.record_latency(state.peers, node, message.latency_s, now)
+    record_success(_bucket(state, message.target.call))
+
+
+def _call_ended(state: _RouterState, message: CallEnded, now: float) -> None:
+    end_action(state.actions, message.call, message.unused, refused=message.refused)
 
 
-def _learn(state: _RouterState, node: Address, report: LoadReport | None) -> None:
-    if report is not None:
-        state.loads[node] = report
+def _bucket(state: _RouterState, call: Call) -> RetryBucket:
+    return state.buckets.setdefault(call.service, RetryBucket())
 
 
 def _catalogue_changed(
     state: _RouterState, message: CatalogueChanged, now: float
 ) -> None:
     state.catalogue = message.catalogue
+    services = {entry.service for entry in message.catalogue.entries}
+    state.buckets = {s: b for s, b in state.buckets.items() if s in services}
 
 
 def _members_changed(state: _RouterState, message: MembersChanged, now: float) -> None:
-    state.members = {}
-    for member in message.members:
-        state.members.setdefault(member.service, []).append(member)
-    nodes = {member.node for member in message.members}
-    state.loads = {n: load for n, load in state.loads.items() if n in nodes}
+    peers.replace_members(state.peers, message.members, now)
 
 
 _HANDLERS: Handlers[_RouterState] = {
     Begin: _begin,
     AttemptFailed: _attempt_failed,
     AttemptEnded: _attempt_ended,
+    CallEnded: _call_ended,
     CatalogueChanged: _catalogue_changed,
     MembersChanged: _members_changed,
 }
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -41,7 +40,7 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith(CONTROL_PREFIX):
             return await route_control(request, control)
-        call = decode_call(request.headers.get(CALL_HEADER), time.monotonic())
+        call = decode_call(request.headers.get(CALL_HEADER), port.clock())
         if isinstance(call, Refusal):
             return refusal_response(call)
         sent = await outgoing(request, buffer_bytes)
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -14,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
+from yarl import URL
 
 from _masticspoke.border.headers import encode_report
 from _masticspoke.border.headers import forwarded
@@ -23,6 +24,7 @@
 from _masticspoke.border.problem import encode_problem
 from _masticspoke.border.problem import retry_after
 from _masticspoke.metrics.account import RequestAccount
+from _masticspoke.model import Address
 from _masticspoke.model import LoadReport
 from _masticspoke.refusals import REASONS
 from _masticspoke.refusals import Refusal
@@ -38,6 +40,7 @@
     """A request to pass on.
 
     :param body: the whole body, or an iterator that can be read once.
+    :param length: length of a body that is not held in memory, if it is known.
     :param account: figures of the request that it is made for.
     """
 
@@ -45,13 +48,23 @@
     target: str
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes]
+    length: str = ""
     account: RequestAccount = field(default_factory=lambda: RequestAccount(0.0))
 
+    @classmethod
+    def empty(cls) -> Outgoing:
+        """Return a request that is not read yet."""
+        return cls("", "", {}, b"")
+
     @property
     def resendable(self) -> bool:
         """Whether the request can be sent a second time."""
         return isinstance(self.body, bytes)
 
+    def url(self, address: Address) -> URL:
+        """Return where it goes; the target stays as it was written."""
+        return URL(f"http://{address}{self.target}", encoded=True)
+
 
 Deliver = Callable[[aiohttp.ClientResponse], Awaitable[web.StreamResponse]]
 
@@ -99,8 +112,9 @@
         small = small and request.content_length <= buffer_bytes  # type: ignore[operator]
         body = await request.read() if small else request.content.iter_any()
     headers = forwarded(request.headers)
+    length = str(request.content_length or "")
     account = request.get(ACCOUNT) or RequestAccount(0.0)
-    return Outgoing(request.method, request.raw_path, headers, body, account)
+    return Outgoing(request.method, request.raw_path, headers, body, length, account)
 
 
 async def relay(
--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -18,12 +18,10 @@
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
-from _masticspoke.messages import FindParent
 from _masticspoke.messages import Finished
 from _masticspoke.messages import NotAdmitted
 from _masticspoke.messages import Report
 from _masticspoke.messages import Withdrawn
-from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
 from _masticspoke.model import Member
 from _masticspoke.model import Trace
@@ -42,7 +40,6 @@
     | Finished
     | Withdrawn
     | Report
-    | FindParent
     | BackendAnnounced
     | BackendLeaving
     | CatalogueChanged
@@ -55,7 +52,6 @@
 class _GateState:
     admission: AdmissionState = field(default_factory=AdmissionState)
     replies: dict[int, Reply[Admitted | NotAdmitted]] = field(default_factory=dict)
-    traces: dict[Trace, int] = field(default_factory=dict)
     member: Member | None = None
     last_ticket: int = 0
     latency_s: float = 0.0
@@ -85,7 +81,6 @@
 
 def _finished(state: _GateState, message: Finished, now: float) -> None:
     state.latency_s += _SMOOTHING * (message.latency_s - state.latency_s)
-    state.traces = {t: n for t, n in state.traces.items() if n != message.ticket}
     _apply(state, admission.finish(state.admission, message.ticket, now))
 
 
@@ -100,19 +95,6 @@
     message.reply.answer(_load(state))
 
 
-def _find_parent(state: _GateState, message: FindParent, now: float) -> None:
-    message.reply.answer(_parent(state, message.trace))
-
-
-def _parent(state: _GateState, trace: Trace) -> Call | None:
-    ticket = state.traces.get(trace)
-    if ticket is None:
-        ticket = next(
-            (n for t, n in state.traces.items() if t.trace_id == trace.trace_id), None
-        )
-    return None if ticket is None else state.admission.running.get(ticket)
-
-
 def _announced(state: _GateState, message: BackendAnnounced, now: float) -> None:
     state.member = message.member
     state.admission.limit = message.member.slots
@@ -137,7 +119,6 @@
     reply = state.replies.pop(effect.ticket)
     call = state.admission.running[effect.ticket]
     trace = Trace(call.action, secrets.token_hex(8))
-    state.traces[trace] = effect.ticket
     assert state.member is not None
     reply.answer(Admitted(effect.ticket, state.member.backend, trace, _load(state)))
 
@@ -166,7 +147,6 @@
     Finished: _finished,
     Withdrawn: _withdrawn,
     Report: _report,
-    FindParent: _find_parent,
     BackendAnnounced: _announced,
     BackendLeaving: _leaving,
     CatalogueChanged: _catalogue_changed,
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -3,26 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import time
-import zlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
+from hashlib import blake2b
 from typing import final
 
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
+from _masticspoke.border.headers import DEADLINE_HEADER
 from _masticspoke.border.headers import encode_traceparent
+from _masticspoke.border.headers import shed_by_backend
 from _masticspoke.border.headers import TRACE_HEADER
 from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.gate import GateMessage
+from _masticspoke.guard.runs import RunsMessage
 from _masticspoke.messages import Admit
 from _masticspoke.messages import Admitted
 from _masticspoke.messages import Finished
 from _masticspoke.messages import NotAdmitted
+from _masticspoke.messages import RunEnded
+from _masticspoke.messages import RunStarted
+from _masticspoke.messages import Settle
 from _masticspoke.messages import Withdrawn
 from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
@@ -32,6 +38,7 @@
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.supervisor import Clock
 
 DeliverRun = Callable[
     [aiohttp.ClientResponse, LoadReport], Awaitable[web.StreamResponse]
@@ -44,63 +51,125 @@
     """What a request's task needs in order to run a call at the guard."""
 
     gate: Mailbox[GateMessage]
+    runs: Mailbox[RunsMessage]
     connections: Connections
+    clock: Clock
 
 
 async def run_call(
     port: GuardPort, call: Call, request: Outgoing, deliver: DeliverRun
 ) -> web.StreamResponse | NotAdmitted:
-    """Ask the gate, run the call, and pass its answer to ``deliver``."""
+    """Ask the gate, run the call, and pass its answer to ``deliver``.
+
+    What comes back without an answer says how much of the allowance is left.
+    """
     request.account.attempt(call)
     reply: Reply[Admitted | NotAdmitted] = Reply()
     question = Admit(call, fingerprint(request), reply)
     if port.gate.tell(question) is Delivery.FULL:
-        return NotAdmitted(Refusal(Reason.BUSY), LoadReport())
+        return _unused(NotAdmitted(Refusal(Reason.BUSY), LoadReport()), call)
     try:
         answer = await reply.value()
     except asyncio.CancelledError:
         port.gate.tell(Withdrawn(reply))
         raise
     if isinstance(answer, NotAdmitted):
-        return answer
-    return await _exchange(port, answer, request, deliver)
+        return _unused(answer, call)
+    return await _run(port, call, answer, request, deliver)
 
 
 def fingerprint(request: Outgoing) -> int:
-    """Return a number that is the same for the same method, path and body."""
-    text = f"{request.method} {request.target}".encode()
-    body = request.body if isinstance(request.body, bytes) else b""
-    return zlib.crc32(body, zlib.crc32(text))
+    """Return a number that is the same for the same method, path and body.
 
+    Of a body that is not held in memory, only the length counts.
+    """
+    text = f"{request.method} {request.target} ".encode()
+    body = request.body
+    rest = body if isinstance(body, bytes) else request.length.encode()
+    return int.from_bytes(blake2b(text + rest, digest_size=8).digest())
 
-async def _exchange(
-    port: GuardPort, admitted: Admitted, request: Outgoing, deliver: DeliverRun
+
+def _unused(answer: NotAdmitted, call: Call) -> NotAdmitted:
+    return replace(answer, report=replace(answer.report, allowance_left=call.allowance))
+
+
+async def _run(
+    port: GuardPort,
+    call: Call,
+    admitted: Admitted,
+    request: Outgoing,
+    deliver: DeliverRun,
 ) -> web.StreamResponse | NotAdmitted:
-    started = time.monotonic()
+    started = port.clock()
     request.account.wait_began(started)
     crashed = False
-    headers = CIMultiDict(request.headers)
-    headers[TRACE_HEADER] = encode_traceparent(admitted.trace)
+    port.runs.tell(RunStarted(admitted.trace, call))
+    try:
+        async with asyncio.timeout(call.deadline - started):
+            answer = await _exchange(port, call, admitted, request, deliver)
+            crashed = isinstance(answer, NotAdmitted)
+            return answer
+    except TimeoutError:
+        refusal = Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN)
+        return await _settled(port, call, admitted, refusal)
+    finally:
+        port.runs.tell(RunEnded(admitted.trace))
+        ended = port.clock()
+        request.account.wait_ended(ended)
+        port.gate.tell(Finished(admitted.ticket, ended - started, crashed))
+
+
+async def _exchange(
+    port: GuardPort,
+    call: Call,
+    admitted: Admitted,
+    request: Outgoing,
+    deliver: DeliverRun,
+) -> web.StreamResponse | NotAdmitted:
     try:
         async with port.connections.session.request(
             request.method,
-            f"http://{admitted.backend}{request.target}",
-            headers=headers,
+            request.url(admitted.backend),
+            headers=_headers(port, call, admitted, request),
             data=request.body or None,
             allow_redirects=False,
         ) as upstream:
-            request.account.wait_ended(time.monotonic())
-            return await deliver(upstream, admitted.report)
+            request.account.wait_ended(port.clock())
+            if shed_by_backend(upstream.status, upstream.headers):
+                refusal = Refusal(Reason.BACKEND_SHED)
+                return await _settled(port, call, admitted, refusal)
+            report = await _settled_report(port, call, admitted)
+            return await deliver(upstream, report)
     except aiohttp.ClientConnectorError as error:
-        crashed = True
         refusal = Refusal(Reason.BACKEND_UNREACHABLE, Ran.NO, detail=str(error))
-        return NotAdmitted(refusal, admitted.report)
     except (aiohttp.ClientError, ConnectionError) as error:
-        crashed = True
         refusal = Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
-        return NotAdmitted(refusal, admitted.report)
-    finally:
-        ended = time.monotonic()
-        latency_s = ended - started
-        request.account.wait_ended(ended)
-        port.gate.tell(Finished(admitted.ticket, latency_s, crashed))
+    return await _settled(port, call, admitted, refusal)
+
+
+def _headers(
+    port: GuardPort, call: Call, admitted: Admitted, request: Outgoing
+) -> CIMultiDict[str]:
+    headers = CIMultiDict(request.headers)
+    headers[TRACE_HEADER] = encode_traceparent(admitted.trace)
+    remaining_ms = int((call.deadline - port.clock()) * 1000)
+    headers[DEADLINE_HEADER] = str(max(1, remaining_ms))
+    return headers
+
+
+async def _settled(
+    port: GuardPort, call: Call, admitted: Admitted, refusal: Refusal
+) -> NotAdmitted:
+    return NotAdmitted(refusal, await _settled_report(port, call, admitted))
+
+
+async def _settled_report(
+    port: GuardPort, call: Call, admitted: Admitted
+) -> LoadReport:
+    if call.allowance == 0:
+        return admitted.report
+    question = Settle(admitted.trace, Reply())
+    if port.runs.tell(question) is Delivery.FULL:
+        return admitted.report
+    left = await question.reply.value()
+    return replace(admitted.report, allowance_left=left)
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -7,10 +7,12 @@
 
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.retry import Attempt
 from _masticspoke.model import Address
 from _masticspoke.model import Call
 from _masticspoke.model import Catalogue
 from _masticspoke.model import LoadReport
+from _masticspoke.model import Loan
 from _masticspoke.model import Member
 from _masticspoke.model import RequestShape
 from _masticspoke.model import Trace
@@ -75,34 +77,53 @@
 class Target:
     """Where the next attempt of a call goes.
 
-    :param call: the call as it is to be sent.
+    :param attempt: the call as it is to be sent, and what came before.
     :param member: the chosen backend server and its node.
     :param own: whether it is the own backend server.
+    :param wait_s: pause before it is sent.
     """
 
-    call: Call
+    attempt: Attempt
     member: Member
     own: bool
+    wait_s: float = 0.0
+
+    @property
+    def call(self) -> Call:
+        """The call as it is to be sent."""
+        return self.attempt.call
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class Begin:
-    """Entry to router: classify a request and choose its first target."""
+    """Entry to router: classify a request and choose its first target.
+
+    :param loan: from the running call that it is a child of.
+    """
 
     shape: RequestShape
-    parent: Call | None
+    loan: Loan | None
     reply: Reply[Target | Refusal]
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """Entry to router: an attempt was refused; retry or give up?"""
+    """Entry to router: an attempt was refused; retry or give up?
+
+    :param report: from the guard, if it answered.
+    :param returned: retries that came back with the refusal.
+    :param waited_s: time from sending to the refusal.
+    :param resendable: whether the request can be sent a second time.
+    """
 
     target: Target
     refusal: Refusal
     report: LoadReport | None
+    returned: int
+    waited_s: float
+    resendable: bool
     reply: Reply[Target | Refusal]
 
 
@@ -111,13 +132,29 @@
 class AttemptEnded:
     """Entry to router: an attempt was answered, or abandoned.
 
-    :param latency_s: time from sending to the answer's head; ``None`` when the
-        caller went away first.
+    :param answered_at: when the answer's head came; ``None`` when the caller went
+        away first.
+    :param latency_s: time from sending to the answer's head or to the end.
     """
 
     target: Target
     report: LoadReport | None
-    latency_s: float | None
+    answered_at: float | None
+    latency_s: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """Entry to router: a root call is over.
+
+    :param unused: retries of its allowance that are left.
+    :param refused: whether it ended with a refusal.
+    """
+
+    call: Call
+    unused: int
+    refused: bool
 
 
 @final
@@ -185,11 +222,60 @@
 
 @final
 @dataclass(frozen=True, slots=True)
-class FindParent:
-    """Entry to gate: which running call does this trace belong to?"""
+class RunStarted:
+    """Guard to runs: a call is about to be sent to the backend server."""
+
+    trace: Trace
+    call: Call
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Guard to runs: a call was answered; how much of its allowance is left?"""
+
+    trace: Trace
+    reply: Reply[int]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RunEnded:
+    """Guard to runs: a call does not run any more."""
+
+    trace: Trace
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Lend:
+    """Entry to runs: which running call sent this request, and what may it use?
+
+    :param request: fingerprint of the child request.
+    """
 
     trace: Trace
-    reply: Reply[Call | None]
+    request: int
+    reply: Reply[Loan | Refusal | None]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Borrow:
+    """Entry to runs: one more retry for a child call, if there is one."""
+
+    loan: Loan
+    reply: Reply[int]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class GiveBack:
+    """Entry to runs: a child call is over, and this is what it did not use."""
+
+    loan: Loan
+    unused: int
+    refused: bool
 
 
 @final
--- a/src/_masticspoke/model.py
+++ b/src/_masticspoke/model.py
@@ -132,6 +132,7 @@
     :param allowance: retries lent to this call and its children.
     :param key: idempotency key given by the client, if any.
     :param catalogue_version: version that the sender acted on.
+    :param crashes: backend servers that crashed while they ran it.
     """
 
     action: str
@@ -146,6 +147,7 @@
     allowance: int = 0
     key: str | None = None
     catalogue_version: int = 0
+    crashes: int = 0
 
 
 @final
@@ -188,6 +190,23 @@
     parent_id: str
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """Retries that a running call lent to one of its child calls.
+
+    :param account: names the running call at its node.
+    :param parent: the running call.
+    :param amount: retries lent.
+    :param request: fingerprint of the child request.
+    """
+
+    account: Trace
+    parent: Call
+    amount: int
+    request: int
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class RequestShape:
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -47,6 +47,8 @@
 from _masticspoke.guard.gate import gate
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.run import GuardPort
+from _masticspoke.guard.runs import runs
+from _masticspoke.guard.runs import RunsMessage
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
@@ -75,6 +77,7 @@
     incarnation: str
     router: Mailbox[RouterMessage]
     gate: Mailbox[GateMessage]
+    runs: Mailbox[RunsMessage]
     keeper: Mailbox[KeeperMessage]
     writer: Mailbox[WriterMessage]
     recorder: Mailbox[RecorderMessage]
@@ -115,6 +118,7 @@
         incarnation=first_incarnation(int(time.time() * 1000), secrets.token_hex(4)),
         router=Mailbox(capacity),
         gate=Mailbox(capacity),
+        runs=Mailbox(capacity),
         keeper=Mailbox(capacity),
         writer=Mailbox(capacity),
         recorder=Mailbox(capacity),
@@ -130,6 +134,7 @@
     mailboxes: dict[str, Mailbox[Any]] = {
         "router": parts.router,
         "gate": parts.gate,
+        "runs": parts.runs,
         "keeper": parts.keeper,
         "writer": parts.writer,
         "recorder": parts.recorder,
@@ -211,9 +216,9 @@
 
 def _dispatch(parts: _Parts) -> ChildBody:
     settings = parts.settings
-    own = settings.node.peer_address
+    node = settings.node
     connect_s = settings.limits.connect_timeout_ms / 1000
-    route = router(parts.router, time.monotonic, own, Random())
+    route = router(parts.router, time.monotonic, node.peer_address, node.zone, Random())
     children = (
         ChildSpec("connections", connection_owner(parts.to_nodes, connect_s), 1.0),
         ChildSpec("router", _informed(parts, route)),
@@ -227,6 +232,7 @@
     admit = gate(parts.gate, time.monotonic, limits.queue_calls)
     children = (
         ChildSpec("connections", connection_owner(parts.to_backend, connect_s), 1.0),
+        ChildSpec("runs", runs(parts.runs, time.monotonic)),
         ChildSpec("gate", _informed(parts, admit)),
     )
     return supervisor("guard", children, time.monotonic)
@@ -245,16 +251,18 @@
 def _entry(parts: _Parts) -> ChildBody:
     node = parts.settings.node
     buffer_bytes = parts.settings.limits.body_buffer_bytes
-    guard_port = GuardPort(parts.gate, parts.to_backend)
-    port = DispatchPort(parts.router, parts.to_nodes, guard_port)
+    guard_port = GuardPort(parts.gate, parts.runs, parts.to_backend, time.monotonic)
+    port = DispatchPort(
+        parts.router, parts.to_nodes, guard_port, time.monotonic, buffer_bytes
+    )
     backend = backend_handler(
         parts.keeper,
         node.peer_address,
         node.zone,
-        client_handler(port, buffer_bytes, from_backend=True),
+        client_handler(port, from_backend=True),
     )
     peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
-    clients = client_handler(port, buffer_bytes, from_backend=False)
+    clients = client_handler(port, from_backend=False)
 
     def listening(port: Port, address: Address, handler: Handler) -> ChildSpec:
         counted = measured(handler, port, parts.recorder, time.monotonic)
--- a/src/_masticspoke/refusals.py
+++ b/src/_masticspoke/refusals.py
@@ -29,6 +29,7 @@
     QUARANTINED = "quarantined"
     BACKEND_UNREACHABLE = "backend-unreachable"
     BACKEND_FAILED = "backend-failed"
+    BACKEND_SHED = "backend-shed"
     NODE_UNREACHABLE = "node-unreachable"
     NODE_FAILED = "node-failed"
     OUTCOME_UNKNOWN = "outcome-unknown"
@@ -70,7 +71,7 @@
         504, False, "allow more time in the catalogue's deadline_ms or the header"
     ),
     Reason.DEADLINE_UNMEETABLE: ReasonSpec(503, True, _LATER),
-    Reason.NO_BACKEND_SERVER: ReasonSpec(503, False, _LATER),
+    Reason.NO_BACKEND_SERVER: ReasonSpec(503, True, _LATER),
     Reason.LEAVING: ReasonSpec(503, True, _LATER),
     Reason.QUEUE_FULL: ReasonSpec(503, True, _LATER),
     Reason.DISPLACED: ReasonSpec(503, True, _LATER),
@@ -84,6 +85,7 @@
     ),
     Reason.BACKEND_UNREACHABLE: ReasonSpec(503, True, _LATER),
     Reason.BACKEND_FAILED: ReasonSpec(502, True, _LATER),
+    Reason.BACKEND_SHED: ReasonSpec(503, True, _LATER),
     Reason.NODE_UNREACHABLE: ReasonSpec(503, True, _LATER),
     Reason.NODE_FAILED: ReasonSpec(502, True, _LATER),
     Reason.OUTCOME_UNKNOWN: ReasonSpec(
--- /dev/null
+++ b/testing/dispatch/test_router.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+from testing.decisions.test_front_end import CATALOGUE
+from testing.decisions.test_front_end import member
+
+from _masticspoke.dispatch.router import router
+from _masticspoke.dispatch.router import RouterMessage
+from _masticspoke.messages import AttemptEnded
+from _masticspoke.messages import AttemptFailed
+from _masticspoke.messages import Begin
+from _masticspoke.messages import CallEnded
+from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import MembersChanged
+from _masticspoke.messages import Target
+from _masticspoke.model import Address
+from _masticspoke.model import LoadReport
+from _masticspoke.model import Ran
+from _masticspoke.model import RequestShape
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+
+SHAPE = RequestShape("GET", "/read/1")
+FULL = Refusal(Reason.QUEUE_FULL)
+Scenario = Callable[[Mailbox[RouterMessage]], Awaitable[None]]
+
+
+def run_router(scenario: Scenario, members: int = 3, now: float = 0.0) -> None:
+    async def main() -> None:
+        inbox: Mailbox[RouterMessage] = Mailbox(100)
+        inbox.tell(CatalogueChanged(CATALOGUE))
+        inbox.tell(MembersChanged(tuple(member(n) for n in range(1, members + 1))))
+        body = router(inbox, lambda: now, Address("10.0.0.9", 9), "z", Random(5))
+        task = asyncio.ensure_future(body(Lifecycle()))
+        try:
+            await scenario(inbox)
+        finally:
+            task.cancel()
+
+    asyncio.run(main())
+
+
+async def begin(
+    inbox: Mailbox[RouterMessage], shape: RequestShape = SHAPE
+) -> Target | Refusal:
+    question = Begin(shape, None, Reply())
+    inbox.tell(question)
+    return await question.reply.value()
+
+
+async def fail(
+    inbox: Mailbox[RouterMessage], target: Target, refusal: Refusal = FULL
+) -> Target | Refusal:
+    returned = target.call.allowance
+    question = AttemptFailed(
+        target, refusal, None, returned, 0.0, resendable=True, reply=Reply()
+    )
+    inbox.tell(question)
+    return await question.reply.value()
+
+
+def test_every_node_is_tried_before_one_is_tried_twice_after_a_pause() -> None:
+    async def scenario(inbox: Mailbox[RouterMessage]) -> None:
+        target = await begin(inbox)
+        nodes = []
+        while isinstance(target, Target) and len(nodes) < 10:
+            nodes.append(target.member.node)
+            waited = target.wait_s
+            target = await fail(inbox, target)
+        assert len(nodes) == 4
+        assert len(set(nodes[:3])) == 3
+        assert waited > 0
+        assert isinstance(target, Refusal)
+        assert target.retry_after_s >= 1
+
+    run_router(scenario)
+
+
+def test_refusal_without_body_to_send_again_keeps_that_it_may_have_run() -> None:
+    async def scenario(inbox: Mailbox[RouterMessage]) -> None:
+        target = await begin(inbox)
+        assert isinstance(target, Target)
+        lost = Refusal(Reason.NODE_FAILED, Ran.UNKNOWN)
+        target = await fail(inbox, target, lost)
+        assert isinstance(target, Target)
+        question = AttemptFailed(target, FULL, None, 0, 0.0, False, Reply())
+        inbox.tell(question)
+        answer = await question.reply.value()
+        assert isinstance(answer, Refusal)
+        assert answer.ran is Ran.UNKNOWN
+
+    run_router(scenario)
+
+
+def test_report_of_an_answer_steers_the_next_call() -> None:
+    async def scenario(inbox: Mailbox[RouterMessage]) -> None:
+        leaving = await begin(inbox)
+        assert isinstance(leaving, Target)
+        report = LoadReport(leaving=True)
+        inbox.tell(AttemptEnded(leaving, report, 0.0, 0.01))
+        for _ in range(20):
+            target = await begin(inbox)
+            assert isinstance(target, Target)
+            assert target.member != leaving.member
+
+    run_router(scenario, members=2)
+
+
+def test_resends_of_a_key_are_counted() -> None:
+    async def scenario(inbox: Mailbox[RouterMessage]) -> None:
+        shape = replace(SHAPE, key="x")
+        target = await begin(inbox, shape)
+        assert isinstance(target, Target)
+        inbox.tell(CallEnded(target.call, 1, refused=True))
+        again = await begin(inbox, shape)
+        assert isinstance(again, Target)
+        assert again.call.allowance + again.attempt.progress.kept == 0
+        inbox.tell(CallEnded(again.call, 0, refused=True))
+        spent = await begin(inbox, shape)
+        assert isinstance(spent, Refusal)
+        assert spent.reason is Reason.RETRIES_SPENT
+
+    run_router(scenario)
