Stop a node in order: tell, refuse, finish, close

Change: the departure task is stopped first and tells the keeper; one time limit for the whole stop; listeners serve their accept queue, close connections with each answer, and log REQUESTS_CUT with the number; a starting node opens the clients' socket once it knows catalogue and members, or after 5 s. Not covered yet: calls with children under a rolling restart, which need the lending of retries.

--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -12,6 +12,7 @@
 from _masticspoke.border.records import decode_membership
 from _masticspoke.border.records import encode_record
 from _masticspoke.border.records import MEMBERS_STREAM
+from _masticspoke.control.knowledge import answer_waiting
 from _masticspoke.control.knowledge import apply_catalogue
 from _masticspoke.control.knowledge import apply_hints
 from _masticspoke.control.knowledge import KeeperState
@@ -34,6 +35,7 @@
 from _masticspoke.messages import AskDigest
 from _masticspoke.messages import AskKnowledge
 from _masticspoke.messages import AskPosition
+from _masticspoke.messages import AskReady
 from _masticspoke.messages import AskStatus
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
@@ -66,6 +68,7 @@
     | PeerNews
     | PeersAsked
     | MemberSilent
+    | AskReady
     | AskDigest
     | AskKnowledge
     | AskStatus
@@ -119,6 +122,9 @@
     if message.records:
         state.publish(message)
     apply_hints(state, step.hints)
+    if message.at_end and not state.members_read:
+        state.members_read = True
+        answer_waiting(state)
 
 
 _READ: dict[str, Callable[[KeeperState, LogRecords, float], None]] = {
@@ -127,6 +133,11 @@
 }
 
 
+def _ask_ready(state: KeeperState, message: AskReady, now: float) -> None:
+    state.waiting.append(message.reply)
+    answer_waiting(state)
+
+
 def _ask_position(state: KeeperState, message: AskPosition, now: float) -> None:
     replays = {
         CATALOGUE_STREAM: state.catalogue_log.read_through,
@@ -193,6 +204,7 @@
 def _ready_without_log(state: KeeperState) -> None:
     if state.peers_asked and not state.log.available:
         mark_ready(state)
+        answer_waiting(state)
 
 
 def _member_silent(state: KeeperState, message: MemberSilent, now: float) -> None:
@@ -278,6 +290,7 @@
     PeerNews: _peer_news,
     PeersAsked: _peers_asked,
     MemberSilent: _member_silent,
+    AskReady: _ask_ready,
     AskDigest: _ask_digest,
     AskKnowledge: _ask_knowledge,
     AskStatus: _ask_status,
--- a/src/_masticspoke/control/knowledge.py
+++ b/src/_masticspoke/control/knowledge.py
@@ -35,6 +35,7 @@
 from _masticspoke.messages import ViewsChanged
 from _masticspoke.model import Member
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
 
 Published = (
     CatalogueChanged
@@ -57,6 +58,9 @@
         of the stream ``members`` made are published before its records.
     :param catalogue: highest version heard of, from the log or another node.
     :param ready: whether it may be acted on, see :func:`mark_ready`.
+    :param members_read: whether the stream ``members`` was read to its end.
+    :param peers_asked: whether another node told what it knows.
+    :param waiting: replies to those who wait until the node knows enough.
     :param routing: members that take work, as published.
     """
 
@@ -70,7 +74,9 @@
     members_snapshot: SnapshotClock = field(default_factory=SnapshotClock)
     catalogue: CatalogueState = field(default_factory=CatalogueState)
     ready: bool = False
+    members_read: bool = False
     peers_asked: bool = False
+    waiting: list[Reply[None]] = field(default_factory=list)
     hints: HintsState = field(default_factory=HintsState)
     routing: tuple[Member, ...] = ()
     log: LogState = field(default_factory=LogState)
@@ -97,6 +103,17 @@
     state.ready = True
     if state.catalogue.catalogue.version > 0:
         _put_in_force(state)
+    answer_waiting(state)
+
+
+def answer_waiting(state: KeeperState) -> None:
+    """Answer those who wait for catalogue and members, if both are known."""
+    without_log = state.peers_asked and not state.log.available
+    if not (state.ready and (state.members_read or without_log)):
+        return
+    for reply in state.waiting:
+        reply.answer(None)
+    state.waiting.clear()
 
 
 def republish(state: KeeperState, now: float) -> None:
--- a/src/_masticspoke/dispatch/router.py
+++ b/src/_masticspoke/dispatch/router.py
@@ -112,11 +112,12 @@
 
 
 def _members_changed(state: _RouterState, message: MembersChanged, now: float) -> None:
+    known = {m.node: m.incarnation for held in state.members.values() for m in held}
     state.members = {}
     for member in message.members:
         state.members.setdefault(member.service, []).append(member)
-    nodes = {member.node for member in message.members}
-    state.loads = {n: load for n, load in state.loads.items() if n in nodes}
+    same = {m.node for m in message.members if known.get(m.node) == m.incarnation}
+    state.loads = {n: load for n, load in state.loads.items() if n in same}
 
 
 _HANDLERS: Handlers[_RouterState] = {
--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -116,6 +116,7 @@
 def _announced(state: _GateState, message: BackendAnnounced, now: float) -> None:
     state.member = message.member
     state.admission.limit = message.member.slots
+    state.admission.leaving = False
 
 
 def _leaving(state: _GateState, message: BackendLeaving, now: float) -> None:
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -339,6 +339,14 @@
     reply: Reply[Knowledge]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class AskReady:
+    """Listener to keeper: answer once catalogue and members may be acted on."""
+
+    reply: Reply[None]
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class PeerAhead:
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -18,6 +18,7 @@
 from _masticspoke.border.records import MEMBERS_STREAM
 from _masticspoke.border.settings import Settings
 from _masticspoke.connections import connection_owner
+from _masticspoke.control.departure import departure
 from _masticspoke.control.gossip import gossip
 from _masticspoke.control.gossip import GossipMessage
 from _masticspoke.control.keeper import keeper
@@ -39,6 +40,7 @@
 from _masticspoke.entry.clients import client_handler
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.listener import listener
+from _masticspoke.entry.listener import Opening
 from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.entry.peers import peer_handler
 from _masticspoke.events import Event
@@ -47,6 +49,7 @@
 from _masticspoke.guard.gate import gate
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.run import GuardPort
+from _masticspoke.messages import AskReady
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
@@ -59,12 +62,20 @@
 from _masticspoke.metrics.recorder import recorder
 from _masticspoke.metrics.recorder import RecorderMessage
 from _masticspoke.model import Address
+from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.planned_stop import PlannedStop
 from _masticspoke.supervise.supervisor import ChildSpec
 from _masticspoke.supervise.supervisor import supervisor
 
+# Time that a starting node refuses connections of clients until it knows enough.
+_READY_TIMEOUT_S = 5.0
+# Time that the listeners get to close connections after requests were cut.
+_CUT_S = 5.0
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -72,6 +83,7 @@
     """Mailboxes and connections that outlive a restart of their owners."""
 
     settings: Settings
+    stop: PlannedStop
     incarnation: str
     router: Mailbox[RouterMessage]
     gate: Mailbox[GateMessage]
@@ -93,8 +105,11 @@
         ChildSpec("control", _control(parts), stop_timeout_s=5.0),
         ChildSpec("dispatch", _dispatch(parts), stop_timeout_s=5.0),
         ChildSpec("guard", _guard(parts), stop_timeout_s=5.0),
+        ChildSpec("entry", _entry(parts), settings.node.stop_timeout_s + _CUT_S),
         ChildSpec(
-            "entry", _entry(parts), stop_timeout_s=3 * settings.node.stop_timeout_s
+            "departure",
+            departure(parts.keeper, parts.stop, time.monotonic),
+            settings.node.stop_timeout_s,
         ),
     )
     tree = supervisor("node", branches, time.monotonic)
@@ -112,6 +127,7 @@
     capacity = settings.limits.mailbox_messages
     return _Parts(
         settings=settings,
+        stop=PlannedStop(settings.node.stop_timeout_s),
         incarnation=first_incarnation(int(time.time() * 1000), secrets.token_hex(4)),
         router=Mailbox(capacity),
         gate=Mailbox(capacity),
@@ -256,15 +272,21 @@
     peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
     clients = client_handler(port, buffer_bytes, from_backend=False)
 
-    def listening(port: Port, address: Address, handler: Handler) -> ChildSpec:
+    async def knowing_enough() -> None:
+        reply: Reply[None] = Reply()
+        await ask(parts.keeper, AskReady(reply), reply, _READY_TIMEOUT_S)
+
+    def listening(
+        port: Port, address: Address, handler: Handler, opening: Opening | None = None
+    ) -> ChildSpec:
         counted = measured(handler, port, parts.recorder, time.monotonic)
-        body = listener(address, counted, node.stop_timeout_s)
-        return ChildSpec(port.value, body, node.stop_timeout_s + 1)
+        body = listener(address, counted, parts.stop, time.monotonic, opening)
+        return ChildSpec(port.value, body, node.stop_timeout_s + _CUT_S)
 
     children = (
         listening(Port.BACKEND, node.backend_address, backend),
         listening(Port.PEERS, node.peer_address, peers),
-        listening(Port.CLIENTS, node.client_address, clients),
+        listening(Port.CLIENTS, node.client_address, clients, knowing_enough),
     )
     return supervisor("entry", children, time.monotonic)
 
--- a/testing/live/fleet.py
+++ b/testing/live/fleet.py
@@ -92,6 +92,7 @@
     servers: list[Server] = field(default_factory=list)
     log: subprocess.Popen[bytes] | None = None
     settings: str = ""
+    node_settings: str = ""
     extra: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
     def __enter__(self) -> Fleet:
@@ -140,6 +141,7 @@
             f"client_address = 127.0.0.1:{server.client_port}\n"
             f"peer_address = 127.0.0.1:{server.peer_port}\n"
             f"backend_address = 127.0.0.1:{server.backend_port}\n"
+            f"{self.node_settings}"
             f"[log]\naddress = 127.0.0.1:{self.log_port}\n"
             f"[peers]\nseeds = {seeds}\n{self.settings}"
         )
