--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -98,6 +98,7 @@
 def _announced(state: _GateState, message: BackendAnnounced, now: float) -> None:
     state.member = message.member
     state.admission.limit = message.member.slots
+    state.admission.leaving = False
 
 
 def _leaving(state: _GateState, message: BackendLeaving, now: float) -> None:
