--- /dev/null
+++ b/bench/overload/__main__.py
@@ -0,0 +1,9 @@
+"""``python -m bench.overload``: print the table; exit 1 past a bound."""
+
+from __future__ import annotations
+
+import sys
+
+from bench.overload.table import main
+
+sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/overload/policies.py
@@ -0,0 +1,89 @@
+"""The guard and its baselines behind one record of functions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+from _masticspoke.decisions import admission
+from _masticspoke.decisions import baselines
+from _masticspoke.decisions.baselines import BaselineState
+from _masticspoke.decisions.baselines import Order
+from _masticspoke.decisions.effects import Effect
+from _masticspoke.decisions.limit import LimitState
+from _masticspoke.decisions.occupancy import AdmissionState
+from _masticspoke.decisions.occupancy import admitted_rank
+from _masticspoke.decisions.shares import Shares
+from _masticspoke.model import Call
+from _masticspoke.model import LoadReport
+
+Effects = tuple[Effect, ...]
+MakePolicy = Callable[[int, Random, Shares], "Policy"]
+QUEUE_LENGTH = 100
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What the model needs of a guard.
+
+    :param cancels: whether a run whose caller went away is cancelled.
+    """
+
+    arrive: Callable[[int, Call, float], Effects]
+    finish: Callable[[int, float, float], Effects]
+    withdraw: Callable[[int, float], None]
+    expire: Callable[[float], Effects]
+    report: Callable[[float], LoadReport]
+    cancels: bool = True
+
+
+def baseline(order: Order, *, controlled: bool) -> MakePolicy:
+    """Return the maker of a baseline's guards.
+
+    :param controlled: with a static limit at the announced slots, or none.
+    """
+
+    def make(slots: int, random: Random, shares: Shares) -> Policy:
+        state = BaselineState(slots if controlled else None, QUEUE_LENGTH, order)
+        return Policy(
+            arrive=lambda ticket, call, now: baselines.arrive(state, ticket, call, now),
+            finish=lambda ticket, latency_s, now: baselines.finish(state, now),
+            withdraw=lambda ticket, now: baselines.withdraw(state, ticket),
+            expire=lambda now: (),
+            report=lambda now: LoadReport(state.running + len(state.waiting), slots),
+            cancels=controlled,
+        )
+
+    return make
+
+
+NO_CONTROL = baseline(baselines.fifo, controlled=False)
+FIFO = baseline(baselines.fifo, controlled=True)
+STRICT = baseline(baselines.strict_priority, controlled=True)
+
+
+def guard(slots: int, random: Random, shares: Shares) -> Policy:
+    """Return one of the project's own guards, after its cold start."""
+    warm = LimitState(ceiling=slots, value=slots, starting=False)
+    state = AdmissionState(QUEUE_LENGTH, random, warm, shares)
+
+    def report(now: float) -> LoadReport:
+        return LoadReport(
+            in_flight=len(state.running) + len(state.waiting),
+            limit=state.limit.limit,
+            admitted_rank=admitted_rank(state, now),
+        )
+
+    return Policy(
+        arrive=lambda ticket, call, now: admission.arrive(state, ticket, call, now),
+        finish=lambda ticket, held_s, now: admission.finish(state, ticket, held_s, now),
+        withdraw=lambda ticket, now: admission.withdraw(state, ticket),
+        expire=lambda now: admission.expire(state, now),
+        report=report,
+    )
+
+
+GUARD: MakePolicy = guard
--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -152,10 +152,12 @@
     before = state.own
     state.own = own_backend.announce(before, message.member, message.ttl_s, now)
     member = state.own.member
-    if member is None or member == before.member:
+    if member is None:
         return
-    log_event(Event.BACKEND_ANNOUNCED, service=member.service, address=member.backend)
     state.publish(BackendAnnounced(member, message.ttl_s))
+    if member == before.member:
+        return
+    log_event(Event.BACKEND_ANNOUNCED, service=member.service, address=member.backend)
     apply_hints(state, (own_backend.own_hint(state.own),))
 
 
--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -4,15 +4,27 @@
 
 import secrets
 from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
+from itertools import count
+from random import Random
 from typing import final
 
 from _masticspoke.decisions import admission
-from _masticspoke.decisions.admission import AdmissionState
-from _masticspoke.decisions.admission import Effect
-from _masticspoke.decisions.admission import Refuse
-from _masticspoke.decisions.admission import Run
+from _masticspoke.decisions.backend import announced
+from _masticspoke.decisions.backend import Backend
+from _masticspoke.decisions.backend import left
+from _masticspoke.decisions.backend import why_no_work
+from _masticspoke.decisions.effects import Effect
+from _masticspoke.decisions.effects import Refuse
+from _masticspoke.decisions.effects import Run
+from _masticspoke.decisions.limit import announce_slots
+from _masticspoke.decisions.limit import cold_limit
+from _masticspoke.decisions.occupancy import AdmissionState
+from _masticspoke.decisions.occupancy import admitted_rank
+from _masticspoke.decisions.shares import shares_of
 from _masticspoke.messages import Admit
 from _masticspoke.messages import Admitted
 from _masticspoke.messages import BackendAnnounced
@@ -25,7 +37,6 @@
 from _masticspoke.messages import Withdrawn
 from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
-from _masticspoke.model import Member
 from _masticspoke.model import Trace
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
@@ -48,56 +59,91 @@
     | CatalogueChanged
 )
 _SMOOTHING = 0.1
+_RECLAIM_EVERY_S = 1.0
 
 
 @final
 @dataclass(slots=True)
 class _GateState:
-    admission: AdmissionState = field(default_factory=AdmissionState)
+    admission: AdmissionState
     replies: dict[int, Reply[Admitted | NotAdmitted]] = field(default_factory=dict)
+    tickets: dict[Reply[Admitted | NotAdmitted], int] = field(default_factory=dict)
     traces: dict[Trace, int] = field(default_factory=dict)
-    member: Member | None = None
-    last_ticket: int = 0
+    backend: Backend = field(default_factory=Backend)
     latency_s: float = 0.0
     catalogue_version: int = 0
+    reclaimed: float = 0.0
 
 
-def gate(inbox: Mailbox[GateMessage], clock: Clock, queue_calls: int) -> ChildBody:
-    """Return the body of the gate's task."""
+def gate(
+    inbox: Mailbox[GateMessage], clock: Clock, queue_calls: int, random: Random
+) -> ChildBody:
+    """Return the body of the gate's task.
+
+    :param queue_calls: calls that may wait.
+    :param random: source of the jitter of Retry-After.
+    """
+    tickets = count(1)
 
     async def run(life: Lifecycle) -> None:
-        state = _GateState(admission=AdmissionState(queue_length=queue_calls))
-        await serve(inbox, state, _HANDLERS, clock, life)
+        state = _GateState(AdmissionState(queue_calls, random))
+        handlers: Handlers[_GateState] = {**_HANDLERS, Admit: partial(_admit, tickets)}
+        try:
+            await serve(
+                inbox, state, handlers, clock, life, on_tick=_tick, wait_s=_wait_s
+            )
+        finally:
+            _apply(state, admission.refuse_all(state.admission, Reason.STOPPING), 0.0)
 
     return run
 
 
-def _admit(state: _GateState, message: Admit, now: float) -> None:
-    if state.member is None:
-        refusal = Refusal(Reason.NO_BACKEND_SERVER)
-        message.reply.answer(NotAdmitted(refusal, _load(state)))
+def _admit(
+    tickets: Iterator[int], state: _GateState, message: Admit, now: float
+) -> None:
+    reason = why_no_work(state.backend, now)
+    if reason is not None:
+        refusal = Refusal(reason)
+        message.reply.answer(NotAdmitted(refusal, _load(state, now)))
         return
-    state.last_ticket += 1
-    ticket = state.last_ticket
+    ticket = next(tickets)
     state.replies[ticket] = message.reply
-    _apply(state, admission.arrive(state.admission, ticket, message.call, now))
+    state.tickets[message.reply] = ticket
+    _apply(state, admission.arrive(state.admission, ticket, message.call, now), now)
 
 
 def _finished(state: _GateState, message: Finished, now: float) -> None:
     state.latency_s += _SMOOTHING * (message.latency_s - state.latency_s)
     state.traces = {t: n for t, n in state.traces.items() if n != message.ticket}
-    _apply(state, admission.finish(state.admission, message.ticket, now))
+    head_s = None if message.crashed else message.head_s or message.latency_s
+    _ended(state, message.ticket, head_s, now)
+
+
+def _ended(state: _GateState, ticket: int, head_s: float | None, now: float) -> None:
+    _forget(state, ticket)
+    _apply(state, admission.finish(state.admission, ticket, head_s, now), now)
 
 
 def _withdrawn(state: _GateState, message: Withdrawn, now: float) -> None:
-    for ticket, reply in list(state.replies.items()):
-        if reply is message.reply:
-            del state.replies[ticket]
-            admission.withdraw(state.admission, ticket)
+    ticket = state.tickets.get(message.reply)
+    if ticket is None:
+        return
+    if ticket in state.admission.running:
+        _ended(state, ticket, None, now)
+        return
+    _forget(state, ticket)
+    admission.withdraw(state.admission, ticket)
+
+
+def _forget(state: _GateState, ticket: int) -> Reply[Admitted | NotAdmitted] | None:
+    reply = state.replies.pop(ticket, None)
+    if reply is not None:
+        del state.tickets[reply]
+    return reply
 
 
 def _report(state: _GateState, message: Report, now: float) -> None:
-    message.reply.answer(_load(state))
+    message.reply.answer(_load(state, now))
 
 
 def _find_parent(state: _GateState, message: FindParent, now: float) -> None:
@@ -110,59 +156,93 @@
         ticket = next(
             (n for t, n in state.traces.items() if t.trace_id == trace.trace_id), None
         )
-    return None if ticket is None else state.admission.running.get(ticket)
+    run = None if ticket is None else state.admission.running.get(ticket)
+    return None if run is None else run.call
 
 
 def _announced(state: _GateState, message: BackendAnnounced, now: float) -> None:
-    state.member = message.member
-    state.admission.limit = message.member.slots
+    before = state.backend
+    state.backend = announced(before, message.member, message.ttl_s, now)
+    if state.backend.since != before.since:
+        state.admission.limit = cold_limit(message.member.slots)
+    else:
+        announce_slots(state.admission.limit, message.member.slots)
 
 
 def _leaving(state: _GateState, message: BackendLeaving, now: float) -> None:
-    state.admission.leaving = True
+    state.backend = left(state.backend)
 
 
 def _catalogue_changed(
     state: _GateState, message: CatalogueChanged, now: float
 ) -> None:
     state.catalogue_version = message.catalogue.version
+    state.admission.shares = shares_of(message.catalogue)
+
+
+def _tick(state: _GateState, now: float) -> None:
+    effects = admission.expire(state.admission, now)
+    if why_no_work(state.backend, now) is Reason.NO_BACKEND_SERVER:
+        reason = Reason.NO_BACKEND_SERVER
+        effects = (*effects, *admission.refuse_all(state.admission, reason))
+    _apply(state, effects, now)
+    if now - state.reclaimed >= _RECLAIM_EVERY_S:
+        state.reclaimed = now
+        for ticket in admission.overdue(state.admission, now):
+            _ended(state, ticket, None, now)
 
 
-def _apply(state: _GateState, effects: tuple[Effect, ...]) -> None:
+def _wait_s(state: _GateState, now: float) -> float | None:
+    """Return the time until a queued call expires or a lost run is looked for."""
+    times = [admission.next_expiry(state.admission)]
+    if state.admission.running:
+        times.append(state.reclaimed + _RECLAIM_EVERY_S)
+    if state.admission.waiting.keys and not state.backend.leaving:
+        times.append(state.backend.expires)
+    return min((t - now for t in times if t is not None), default=None)
+
+
+def _apply(state: _GateState, effects: tuple[Effect, ...], now: float) -> None:
     for effect in effects:
-        _APPLY[type(effect)](state, effect)
+        _APPLY[type(effect)](state, effect, now)
 
 
-def _apply_run(state: _GateState, effect: Run) -> None:
-    reply = state.replies.pop(effect.ticket)
-    call = state.admission.running[effect.ticket]
+def _apply_run(state: _GateState, effect: Run, now: float) -> None:
+    reply = state.replies[effect.ticket]
+    if reply.abandoned:
+        _ended(state, effect.ticket, None, now)
+        return
+    call = state.admission.running[effect.ticket].call
     trace = Trace(call.action, secrets.token_hex(8))
     state.traces[trace] = effect.ticket
-    assert state.member is not None
-    reply.answer(Admitted(effect.ticket, state.member.backend, trace, _load(state)))
+    member = state.backend.member
+    assert member is not None
+    report = _load(state, now)
+    reply.answer(Admitted(effect.ticket, member.backend, trace, report))
 
 
-def _apply_refuse(state: _GateState, effect: Refuse) -> None:
-    reply = state.replies.pop(effect.ticket)
-    reply.answer(NotAdmitted(effect.refusal, _load(state)))
+def _apply_refuse(state: _GateState, effect: Refuse, now: float) -> None:
+    reply = _forget(state, effect.ticket)
+    if reply is not None:
+        reply.answer(NotAdmitted(effect.refusal, _load(state, now)))
 
 
 _APPLY: dict[type, Callable[..., None]] = {Run: _apply_run, Refuse: _apply_refuse}
 
 
-def _load(state: _GateState) -> LoadReport:
+def _load(state: _GateState, now: float) -> LoadReport:
     held = state.admission
     return LoadReport(
-        in_flight=len(held.running) + len(held.queue),
-        limit=held.limit,
+        in_flight=len(held.running) + len(held.waiting),
+        limit=held.limit.limit,
         latency_s=state.latency_s,
+        admitted_rank=admitted_rank(held, now),
         catalogue_version=state.catalogue_version,
-        leaving=held.leaving,
+        leaving=state.backend.leaving,
     )
 
 
 _HANDLERS: Handlers[_GateState] = {
-    Admit: _admit,
     Finished: _finished,
     Withdrawn: _withdrawn,
     Report: _report,
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -160,11 +160,13 @@
     """Listener to gate: a run ended.
 
     :param crashed: the backend server broke the connection or refused it.
+    :param head_s: time to the head of the answer, when it is known apart.
     """
 
     ticket: int
     latency_s: float
     crashed: bool
+    head_s: float | None = None
 
 
 @final
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -224,7 +224,7 @@
 def _guard(parts: _Parts) -> ChildBody:
     limits = parts.settings.limits
     connect_s = limits.connect_timeout_ms / 1000
-    admit = gate(parts.gate, time.monotonic, limits.queue_calls)
+    admit = gate(parts.gate, time.monotonic, limits.queue_calls, Random())
     children = (
         ChildSpec("connections", connection_owner(parts.to_backend, connect_s), 1.0),
         ChildSpec("gate", _informed(parts, admit)),
--- a/src/_masticspoke/supervise/server.py
+++ b/src/_masticspoke/supervise/server.py
@@ -25,6 +25,7 @@
     *,
     tick_s: float | None = None,
     on_tick: Callable[[S, float], None] | None = None,
+    wait_s: Callable[[S, float], float | None] | None = None,
 ) -> None:
     """Handle each message by its type, with the present time, until cancelled.
 
@@ -32,9 +33,12 @@
     :param handlers: the handler of each message type.
     :param tick_s: call ``on_tick`` when no message came for that many seconds,
         and after each batch.
+    :param wait_s: returns ``tick_s`` anew before each wait.
     """
     life.mark_started()
     while True:
+        if wait_s is not None:
+            tick_s = wait_s(state, clock())
         for message in await inbox.receive(tick_s):
             handlers[type(message)](state, message, clock())
         if on_tick is not None:
