--- a/src/_masticspoke/decisions/own_backend.py
+++ b/src/_masticspoke/decisions/own_backend.py
@@ -27,6 +27,7 @@
     :param incarnation: newest one in use at this node.
     :param announced: the last announcement, without an incarnation of the node.
     :param member: with the node's incarnation; ``None`` when it takes no work.
+    :param left: the announcement that was withdrawn last.
     :param expires: time at which the announcement lapses.
     :param told: last record given to the log writer.
     :param told_at: when; a record that is not in the log yet is given again after
@@ -37,13 +38,20 @@
     incarnation: str
     announced: Member | None = None
     member: Member | None = None
+    left: Member | None = None
     expires: float = 0.0
     told: Joined | Left | None = None
     told_at: float = 0.0
 
 
 def announce(own: OwnBackend, member: Member, ttl_s: float, now: float) -> OwnBackend:
-    """Return the state after an announcement or its renewal."""
+    """Return the state after an announcement or its renewal.
+
+    A renewal that was sent before the backend server left, and comes after, changes
+    nothing.
+    """
+    if member == own.left and now < own.expires:
+        return own
     if own.member is not None and member == own.announced:
         return replace(own, expires=now + ttl_s)
     incarnation = after(own.incarnation, own.incarnation)
@@ -58,7 +66,7 @@
 
 def leave(own: OwnBackend) -> OwnBackend:
     """Return the state after the backend server stopped taking work."""
-    return replace(own, announced=None, member=None)
+    return replace(own, announced=None, member=None, left=own.announced)
 
 
 def has_lapsed(own: OwnBackend, now: float) -> bool:
--- a/testing/decisions/test_front_end.py
+++ b/testing/decisions/test_front_end.py
@@ -42,15 +42,16 @@
 def test_refused_call_runs_elsewhere_and_its_child_is_lent_a_retry() -> None:
     found = Peers(Address("10.0.0.9", 9), "z")
     known.replace_members(found, [member(1), member(2)], 0.0)
-    guards = {m.node: AdmissionState(limit=1) for m in (member(1), member(2))}
     random = Random(3)
+    guards = {m.node: AdmissionState(0, random) for m in (member(1), member(2))}
 
     call = classify(CATALOGUE, RequestShape("GET", "/read/7"), None, "a" * 32, 0.0)
     assert isinstance(call, Call)
     attempt = first_attempt(call)
     first = choose_member(found, attempt.call, (), 0.0, random)
     assert isinstance(first, Member)
-    guards[first.node].leaving = True
+    for ticket in range(100, 100 + first.slots):
+        assert admission.arrive(guards[first.node], ticket, call, 0.0) == (Run(ticket),)
     (refused,) = admission.arrive(guards[first.node], 1, attempt.call, 0.0)
     assert isinstance(refused, Refuse)
 
--- a/testing/standins/backend_server.py
+++ b/testing/standins/backend_server.py
@@ -140,6 +140,7 @@
         "slots": backend.options.slots,
         "connections": backend.options.connections,
         "ttl_ms": backend.options.ttl_ms,
+        "incarnation": f"{os.getpid()}",
     }
     while True:
         try:
