--- a/testing/docs/test_operations_page.py
+++ b/testing/docs/test_operations_page.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 
 import pytest
@@ -12,6 +13,7 @@
 from _masticspoke.border.catalogue_ini import ClassSection
 from _masticspoke.border.catalogue_ini import EntrySection
 from _masticspoke.border.settings import Settings
+from _masticspoke.cli.main import main
 from _masticspoke.metrics.families import Metric
 from _masticspoke.refusals import REASONS
 
@@ -68,6 +70,21 @@
     assert table("reason", 2) == sorted(reasons)
 
 
+@pytest.mark.parametrize("words", [(), ("catalogue",)])
+def test_page_lists_each_command(
+    words: tuple[str, ...], capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit):
+        main([*words, "--help"])
+    names = re.findall(r"^    (\w+)  ", capsys.readouterr().out, re.MULTILINE)
+    page = text("OPERATIONS.md")
+
+    assert names
+    assert [
+        n for n in names if f"masticspoke {' '.join([*words, n])}" not in page
+    ] == []
+
+
 def test_page_lists_each_exit_code() -> None:
     kinds = [e for e in vars(errors).values() if isinstance(e, type)]
     codes = {e.exit_code for e in kinds if issubclass(e, errors.MasticspokeError)}
