--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from _masticspoke.entry.malformed import OnMalformed
+from _masticspoke.entry.malformed import request_factory
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
 from _masticspoke.model import Address
@@ -65,12 +67,14 @@
 def listener(
     address: Address,
     handler: Handler,
+    on_malformed: OnMalformed,
     stop: PlannedStop,
     clock: Clock,
     opening: Opening | None = None,
 ) -> ChildBody:
     """Return a body that serves HTTP at ``address``.
 
+    :param on_malformed: called for each request that is not HTTP.
     :param opening: awaited before the socket is opened.
 
     While ``stop`` is under way each answer closes its connection, so that clients
@@ -86,6 +90,7 @@
             access_log=None,
             handler_cancellation=True,
             auto_decompress=False,
+            request_factory=request_factory(on_malformed),
         )
         runner = web.ServerRunner(server, shutdown_timeout=CUT_TIMEOUT_S)
         await runner.setup()
--- a/src/_masticspoke/metrics/measure.py
+++ b/src/_masticspoke/metrics/measure.py
@@ -11,6 +11,7 @@
 from _masticspoke.border.headers import REFUSED_HEADER
 from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.entry.listener import Handler
+from _masticspoke.entry.malformed import OnMalformed
 from _masticspoke.exchange import ACCOUNT
 from _masticspoke.exchange import refusal_response
 from _masticspoke.metrics.account import Outcome
@@ -55,6 +56,19 @@
     return handle
 
 
+def malformed_counter(
+    port: Port, recorder: Mailbox[RecorderMessage], clock: Clock
+) -> OnMalformed:
+    """Return what counts a request that is not HTTP as refused."""
+
+    def count() -> None:
+        account = RequestAccount(clock())
+        reason = Reason.MALFORMED
+        recorder.tell(RequestEnded(port, account, Outcome.REFUSED, reason, 0.0))
+
+    return count
+
+
 def _outcome(
     request: web.BaseRequest, response: web.StreamResponse
 ) -> tuple[Outcome, Reason | None]:
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -59,6 +59,7 @@
 from _masticspoke.messages import MembersChanged
 from _masticspoke.messages import Resend
 from _masticspoke.metrics.account import Port
+from _masticspoke.metrics.measure import malformed_counter
 from _masticspoke.metrics.measure import measured
 from _masticspoke.metrics.measure import metrics_handler
 from _masticspoke.metrics.recorder import recorder
@@ -288,7 +289,10 @@
         port: Port, address: Address, handler: Handler, opening: Opening | None = None
     ) -> ChildSpec:
         counted = measured(handler, port, parts.recorder, time.monotonic)
-        body = listener(address, counted, parts.stop, time.monotonic, opening)
+        malformed = malformed_counter(port, parts.recorder, time.monotonic)
+        body = listener(
+            address, counted, malformed, parts.stop, time.monotonic, opening
+        )
         return ChildSpec(port.value, body, node.stop_timeout_s + _CUT_S)
 
     children = (
