--- /dev/null
+++ b/testing/live/test_memory.py
@@ -0,0 +1,61 @@
+"""Bodies stream through nodes; memory does not grow with their length."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import time
+import urllib.request
+from pathlib import Path
+
+from testing.live.fleet import Fleet
+from testing.live.fleet import ROOT
+from testing.live.fleet import Server
+
+ANSWER_BYTES = 200_000_000
+MOST_GROWTH_KB = 4_096
+CHUNK = 1 << 20
+
+
+def process_of(server: Server) -> subprocess.Popen[bytes]:
+    assert server.node is not None
+    return server.node
+
+
+def reset_peak(server: Server) -> int:
+    pid = process_of(server).pid
+    Path(f"/proc/{pid}/clear_refs").write_text("5")
+    return peak_kb(server)
+
+
+def peak_kb(server: Server) -> int:
+    status = Path(f"/proc/{process_of(server).pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+)", status)
+    assert found is not None
+    return int(found[1])
+
+
+def read_slowly(url: str) -> int:
+    size = 0
+    with urllib.request.urlopen(url) as response:
+        while chunk := response.read(CHUNK):
+            before, size = size, size + len(chunk)
+            if size // 50_000_000 != before // 50_000_000:
+                time.sleep(0.3)
+    return size
+
+
+def test_large_answer_through_two_nodes_stays_out_of_memory(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        front = fleet.add("a", "inspect-desk", "kochi-a")
+        back = fleet.add("b", "audit-vault", "kochi-b")
+        fleet.apply(ROOT / "examples" / "kerala-south.ini")
+        fleet.wait_ready()
+        url = f"{front.url}/archives/1?size="
+        assert read_slowly(f"{url}5000000") == 5_000_000
+        before = [reset_peak(node) for node in (front, back)]
+
+        assert read_slowly(f"{url}{ANSWER_BYTES}") == ANSWER_BYTES
+
+        growth = [peak_kb(n) - kb for n, kb in zip((front, back), before, strict=True)]
+    assert max(growth) < MOST_GROWTH_KB, growth
