Count refusals at the entry by class and kind

Cause: a request refused before any attempt counted under class unknown, which hid what is shed at the entry, the very figure to look at first. Change: a refusal carries the call when the router can tell it, and the request's account takes class and kind from it. The half-request test now sends to a service that is there and checks that nothing ran: with no backend server for it the node refuses before the body, and the answer raced with the hang-up (seen once: a 503 where nothing was expected).

--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -17,6 +17,7 @@
 from _masticspoke.dispatch.attempt import attempt
 from _masticspoke.dispatch.attempt import Failed
 from _masticspoke.dispatch.router import RouterMessage
+from _masticspoke.exchange import account_of
 from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
 from _masticspoke.exchange import outgoing
@@ -84,6 +85,7 @@
     """Return the answer to a request, already relayed, or why there is none."""
     first = await _ask(port, Begin(shape, loan, Reply()))
     if isinstance(first, Refusal):
+        account_of(request).refused(first)
         if loan is not None:
             port.guard.runs.tell(GiveBack(loan, loan.amount, refused=True))
         return first
--- a/src/_masticspoke/dispatch/router.py
+++ b/src/_masticspoke/dispatch/router.py
@@ -106,11 +106,11 @@
         return with_retry_after(call, state.random)
     begun = begin_action(state.actions, call, now)
     if isinstance(begun, Refusal):
-        return begun
+        return replace(begun, call=call)
     target = _target(state, first_attempt(begun), now)
     if isinstance(target, Refusal):
         end_action(state.actions, begun, begun.allowance, refused=True)
-        return with_retry_after(target, state.random)
+        return with_retry_after(replace(target, call=call), state.random)
     return target
 
 
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -104,6 +104,11 @@
             self._session = None
 
 
+def account_of(request: web.BaseRequest) -> RequestAccount:
+    """Return the figures of a request; fresh ones when nobody counts it."""
+    return request.get(ACCOUNT) or RequestAccount(0.0)
+
+
 async def outgoing(request: web.BaseRequest, buffer_bytes: int) -> Outgoing:
     """Return a request to pass on; a body up to ``buffer_bytes`` is read whole."""
     body: bytes | AsyncIterator[bytes] = b""
@@ -113,7 +118,7 @@
         body = await request.read() if small else request.content.iter_any()
     headers = forwarded(request.headers)
     length = str(request.content_length or "")
-    account = request.get(ACCOUNT) or RequestAccount(0.0)
+    account = account_of(request)
     return Outgoing(request.method, request.raw_path, headers, body, length, account)
 
 
--- a/src/_masticspoke/metrics/account.py
+++ b/src/_masticspoke/metrics/account.py
@@ -9,6 +9,7 @@
 
 from _masticspoke.model import Call
 from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
 
 
 @final
@@ -74,6 +75,12 @@
         self.rank = call.rank
         self.attempts += 1
 
+    def refused(self, refusal: Refusal) -> None:
+        """Note what a request refused before any attempt was."""
+        if refusal.call is not None:
+            self.kind = refusal.call.kind
+            self.rank = refusal.call.rank
+
     def wait_began(self, now: float) -> None:
         """Note that the request was passed to the next process."""
         self._waiting_since = now
--- a/src/_masticspoke/refusals.py
+++ b/src/_masticspoke/refusals.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import final
 
+from _masticspoke.model import Call
 from _masticspoke.model import Ran
 
 
@@ -109,9 +110,11 @@
     :param ran: ``Ran.NO`` only when the call certainly did not run.
     :param retry_after_s: when to send it again, in seconds; 0 for no advice.
     :param detail: what was found, in one sentence.
+    :param call: the refused call, when a node could still tell it.
     """
 
     reason: Reason
     ran: Ran = Ran.NO
     retry_after_s: float = 0.0
     detail: str = ""
+    call: Call | None = None
--- a/testing/live/test_hostile.py
+++ b/testing/live/test_hostile.py
@@ -84,8 +84,10 @@
 
 def test_half_a_request_does_no_harm(server: Server) -> None:
     assert exchange(server.client_port, GET, hang_up=True) == b""
-    half = POST + b"Content-Length: 9\r\n\r\nab"
+    sign_off = POST.replace(b"/bookings", b"/sign-offs")
+    half = sign_off + b"Idempotency-Key: half\r\nContent-Length: 9\r\n\r\nab"
     assert exchange(server.client_port, half, hang_up=True) == b""
+    assert "half" not in server.runs()
     assert serves_others(server)
 
 
