Decide at most once per key through the log, and explore it

Change: decisions/once holds the protocol as functions of (state, event, now): a home per key and view; claims that count by the log's order; a majority of the view that keeps claims while the log is silent; seals in the log that close earlier views. testing/explorer runs random schedules over these very decisions.

Ruled out: waiting out the longest outage for a view whose members are gone, as proposed.

Not found yet: 'any claim counts', not planted for that reason.

Conclusion: safe as far as explored; the live part is not built yet.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 latency: .venv/.installed
 	$(BIN)/python -m bench.latency
+
+SECONDS ?= 60
+soak: .venv/.installed
+	$(BIN)/python -m testing.explorer.explore $(SECONDS)
--- /dev/null
+++ b/testing/border/test_once.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testing.matching import assert_that
+from testtools.matchers import Equals
+
+from _masticspoke.border.once import decode_confirmed
+from _masticspoke.border.once import decode_once
+from _masticspoke.border.once import decode_questions
+from _masticspoke.border.once import encode_confirmed
+from _masticspoke.border.once import encode_once
+from _masticspoke.border.once import encode_questions
+from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import ConfirmAsked
+from _masticspoke.decisions.once.model import Confirmed
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import Kept
+from _masticspoke.decisions.once.model import Seal
+from _masticspoke.decisions.once.placement import key_digest
+from _masticspoke.model import Address
+
+IDENTITIES = st.builds(
+    Identity,
+    st.builds(Address, st.just("10.0.0.1"), st.integers(1, 65_535)),
+    st.text("0123456789abcdef", min_size=8, max_size=8),
+)
+CLAIMS = st.builds(
+    Claim,
+    st.just("planovac"),
+    st.builds(key_digest, st.just("planovac"), st.text()),
+    IDENTITIES,
+)
+RECORDS = st.one_of(
+    CLAIMS,
+    st.builds(Kept, st.just("planovac"), st.lists(CLAIMS, max_size=3).map(tuple)),
+    st.builds(Seal, st.just("planovac"), st.integers(0, 2**40), IDENTITIES),
+)
+
+
+@given(RECORDS)
+def test_records_come_back_as_they_were(record: Claim | Kept | Seal) -> None:
+    assert_that(decode_once(encode_once(record)), Equals(record))
+
+
+@given(st.lists(st.builds(ConfirmAsked, CLAIMS, st.integers(1, 2**40)), max_size=3))
+def test_questions_come_back_as_they_were(questions: list[ConfirmAsked]) -> None:
+    assert_that(decode_questions(encode_questions(questions)), Equals(tuple(questions)))
+
+
+@given(IDENTITIES, CLAIMS, st.integers(1, 2**40))
+def test_confirmations_come_back_as_they_were(
+    member: Identity, claim: Claim, view: int
+) -> None:
+    confirmed = (Confirmed(claim, view, member),)
+    assert_that(
+        decode_confirmed(encode_confirmed(member, confirmed)), Equals(confirmed)
+    )
+
+
+def test_records_of_another_kind_or_malformed_are_none() -> None:
+    for data in (b"", b"{}", b'{"type":"joined"}', b'{"type":"claim","s":1}', b"\xff"):
+        assert decode_once(data) is None
--- /dev/null
+++ b/testing/decisions/once/test_keys.py
@@ -0,0 +1,282 @@
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from testing.matching import assert_that
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+
+from _masticspoke.decisions.once.decide import decide
+from _masticspoke.decisions.once.model import Answered
+from _masticspoke.decisions.once.model import Append
+from _masticspoke.decisions.once.model import Ask
+from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import ConfirmAsked
+from _masticspoke.decisions.once.model import Confirmed
+from _masticspoke.decisions.once.model import Elsewhere
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import Kept
+from _masticspoke.decisions.once.model import OnceEffect
+from _masticspoke.decisions.once.model import OnceEvent
+from _masticspoke.decisions.once.model import OnceLimits
+from _masticspoke.decisions.once.model import OnceRecord
+from _masticspoke.decisions.once.model import RecordsRead
+from _masticspoke.decisions.once.model import Reply
+from _masticspoke.decisions.once.model import Run
+from _masticspoke.decisions.once.model import RunEnded
+from _masticspoke.decisions.once.model import Seal
+from _masticspoke.decisions.once.model import SendConfirmAsked
+from _masticspoke.decisions.once.model import SendConfirmed
+from _masticspoke.decisions.once.model import StoredAnswer
+from _masticspoke.decisions.once.model import Tick
+from _masticspoke.decisions.once.model import Withdraw
+from _masticspoke.decisions.once.placement import home_of
+from _masticspoke.decisions.once.placement import key_digest
+from _masticspoke.decisions.once.state import OnceState
+from _masticspoke.decisions.once.state import OUTCOME_UNKNOWN
+from _masticspoke.model import Address
+from _masticspoke.model import Member
+from _masticspoke.model import Ran
+from _masticspoke.model import View
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+
+SERVICE = "rezervacie"
+LIMITS = OnceLimits(answers_bytes=800, max_keys=3, key_lifetime_s=100.0)
+NOT_RUN = Refusal(Reason.QUEUE_FULL, Ran.NO)
+
+
+def identity(port: int) -> Identity:
+    return Identity(Address("127.0.0.1", port), f"p{port}")
+
+
+def view(number: int, *ports: int) -> View:
+    members = tuple(
+        Member(SERVICE, i.node, i.node, "sk-central-a", i.process, 1, 1)
+        for i in map(identity, ports)
+    )
+    return View(SERVICE, number, number, members)
+
+
+def digest_at(port: int, *views: View) -> str:
+    """Return a digest whose home is the same in all views."""
+    digests = (key_digest(SERVICE, f"k{n}") for n in range(10_000))
+    home = identity(port)
+    return next(d for d in digests if all(home_of(v, d) == home for v in views))
+
+
+@dataclass
+class Node:
+    """A node under test, with the time and the tickets."""
+
+    state: OnceState
+    now: float = 0.0
+    tickets: int = 0
+    seen: list[OnceEffect] = field(default_factory=list)
+
+    def see(self, event: OnceEvent) -> list[OnceEffect]:
+        self.seen = decide(self.state, event, self.now)
+        return self.seen
+
+    def ask(self, digest: str, fingerprint: int = 1) -> list[OnceEffect]:
+        self.tickets += 1
+        return self.see(Ask(self.tickets, SERVICE, digest, fingerprint))
+
+    def read(self, *items: View | OnceRecord) -> list[OnceEffect]:
+        return self.see(RecordsRead(items))
+
+    def tick(self, seconds: float) -> list[OnceEffect]:
+        self.now += seconds
+        return self.see(Tick())
+
+    def run(self, digest: str) -> None:
+        self.ask(digest)
+        effects = self.read(Claim(SERVICE, digest, self.state.me))
+        assert_that(effects, Equals([Run(digest, self.tickets)]))
+
+
+def started(port: int, *views: View) -> Node:
+    node = Node(OnceState(identity(port), LIMITS))
+    node.read(*views)
+    return node
+
+
+def answer(size: int = 10) -> StoredAnswer:
+    return StoredAnswer(201, (), b"x" * size)
+
+
+def of_type(kind: type, effects: Sequence[OnceEffect]) -> list[OnceEffect]:
+    return [e for e in effects if isinstance(e, kind)]
+
+
+V1 = view(1, 1, 2, 3)
+KEY = digest_at(1, V1)
+
+
+def test_a_key_runs_once_its_claim_is_read_back() -> None:
+    node = started(1, V1)
+
+    assert_that(node.ask(KEY), Equals([Append(Claim(SERVICE, KEY, node.state.me))]))
+    assert_that(node.read(Claim(SERVICE, KEY, node.state.me)), Equals([Run(KEY, 1)]))
+
+
+def test_a_repeated_claim_does_not_run_the_key_again() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+
+    assert_that(node.read(Claim(SERVICE, KEY, node.state.me)), HasLength(0))
+
+
+def test_resends_wait_for_the_run_and_later_ones_get_the_stored_answer() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+    node.ask(KEY)
+
+    effects = node.see(RunEnded(KEY, Answered(answer())))
+
+    assert_that(effects, Equals([Reply(1, answer()), Reply(2, answer())]))
+    assert_that(node.ask(KEY), Equals([Reply(3, answer())]))
+
+
+def test_a_refused_run_holds_the_right_and_runs_for_the_next_asker() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+
+    assert_that(node.see(RunEnded(KEY, NOT_RUN)), Equals([Reply(1, NOT_RUN)]))
+    assert_that(node.ask(KEY), Equals([Run(KEY, 2)]))
+
+
+def test_a_lost_outcome_is_unknown_for_ever() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+    node.see(RunEnded(KEY, Refusal(Reason.NODE_FAILED, Ran.UNKNOWN)))
+
+    assert_that(node.ask(KEY), Equals([Reply(2, OUTCOME_UNKNOWN)]))
+
+
+def test_a_key_with_another_request_is_refused_as_not_run() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+
+    assert_that(
+        node.ask(KEY, fingerprint=2),
+        Equals([Reply(2, Refusal(Reason.KEY_REUSED, Ran.NO))]),
+    )
+
+
+def test_an_answer_too_large_to_store_is_unknown_for_later_askers() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+
+    large = answer(LIMITS.answers_bytes // 8 + 1)
+    assert_that(node.see(RunEnded(KEY, Answered(large))), Equals([Reply(1, large)]))
+    assert_that(node.ask(KEY), Equals([Reply(2, OUTCOME_UNKNOWN)]))
+
+
+def test_an_evicted_answer_is_unknown_and_never_run_again() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+    node.see(RunEnded(KEY, Answered(answer())))
+    node.state.limits = OnceLimits(answer_ttl_s=5.0)
+
+    node.tick(6.0)
+
+    assert_that(node.ask(KEY), Equals([Reply(2, OUTCOME_UNKNOWN)]))
+
+
+def test_a_full_table_refuses_fresh_keys_and_says_unknown() -> None:
+    node = started(1, V1)
+    digests = (key_digest(SERVICE, f"k{n}") for n in range(1_000))
+    mine = [d for d in digests if home_of(V1, d) == identity(1)]
+    for digest in mine[:3]:
+        node.ask(digest)
+
+    full = Refusal(Reason.BUSY, Ran.UNKNOWN)
+    assert_that(node.ask(mine[3]), Equals([Reply(4, full)]))
+
+
+def test_a_key_is_forgotten_after_its_lifetime_only() -> None:
+    node = started(1, V1)
+    node.run(KEY)
+    node.see(RunEnded(KEY, Answered(answer())))
+
+    node.tick(99.0)
+    assert KEY in node.state.keys
+    node.tick(100.0)
+    assert KEY not in node.state.keys
+
+
+def test_another_home_is_named() -> None:
+    node = started(2, V1)
+
+    assert_that(node.ask(KEY), Equals([Reply(1, Elsewhere(identity(1).node))]))
+
+
+def test_without_the_log_a_majority_of_the_view_gives_the_right() -> None:
+    node = started(1, V1)
+    node.ask(KEY)
+    claim = Claim(SERVICE, KEY, identity(1))
+
+    asked = of_type(SendConfirmAsked, node.tick(1.0))
+
+    question = ConfirmAsked(claim, 1)
+    expected = [SendConfirmAsked(identity(p), question) for p in (2, 3)]
+    assert_that(asked, Equals(expected))
+    effects = node.see(Confirmed(claim, 1, identity(2)))
+    assert_that(effects, Equals([Run(KEY, 1)]))
+
+
+def test_a_right_that_comes_when_nobody_waits_runs_nothing() -> None:
+    node = started(1, V1)
+    node.ask(KEY)
+    node.see(Withdraw(1, KEY))
+
+    assert_that(node.read(Claim(SERVICE, KEY, identity(1))), HasLength(0))
+    assert_that(node.ask(KEY), Equals([Run(KEY, 2)]))
+
+
+def test_a_member_that_knows_a_newer_view_does_not_confirm() -> None:
+    claim = Claim(SERVICE, KEY, identity(1))
+    member = started(2, V1)
+    confirmed = member.see(ConfirmAsked(claim, 1))
+    assert_that(of_type(SendConfirmed, confirmed), HasLength(1))
+
+    effects = member.read(view(2, 2, 3))
+
+    kept = Append(Kept(SERVICE, (claim,)))
+    sealed = Append(Seal(SERVICE, 1, identity(2)))
+    assert_that(effects, Equals([kept, sealed]))
+    assert_that(member.see(ConfirmAsked(claim, 1)), HasLength(0))
+
+
+def test_a_new_home_waits_for_the_seals_and_knows_the_kept_claims() -> None:
+    after = view(2, 2, 3)
+    digests = (key_digest(SERVICE, f"k{n}") for n in range(1_000))
+    key, fresh = [
+        d
+        for d in digests
+        if home_of(V1, d) == identity(1) and home_of(after, d) == identity(2)
+    ][:2]
+    home = started(2, V1, after)
+
+    assert_that(home.ask(key), HasLength(0))
+    kept = Kept(SERVICE, (Claim(SERVICE, key, identity(1)),))
+    effects = home.read(kept, Seal(SERVICE, 1, identity(3)))
+
+    assert_that(effects, Equals([Reply(1, OUTCOME_UNKNOWN)]))
+    assert_that(
+        of_type(Append, home.ask(fresh)),
+        Equals([Append(Claim(SERVICE, fresh, identity(2)))]),
+    )
+
+
+def test_a_claim_read_while_views_are_missing_is_taken_for_one_that_counts() -> None:
+    node = Node(OnceState(identity(1), LIMITS))
+    claim = Claim(SERVICE, KEY, identity(9))
+
+    node.see(RecordsRead((claim,), views_known=False))
+    node.read(V1)
+
+    assert_that(node.ask(KEY), Equals([Reply(1, OUTCOME_UNKNOWN)]))
--- /dev/null
+++ b/testing/explorer/faults.py
@@ -0,0 +1,103 @@
+"""Broken variants of the protocol, each of which the explorer must find."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from testing.explorer.world import Faults
+
+from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import ConfirmAsked
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import OpenView
+from _masticspoke.decisions.once.rules import is_closed
+from _masticspoke.decisions.once.rules import is_member
+from _masticspoke.decisions.once.rules import may_confirm
+from _masticspoke.decisions.once.rules import RULES
+from _masticspoke.decisions.once.rules import seals_needed
+from _masticspoke.model import View
+from _masticspoke.refusals import Refusal
+
+WAIT_S = 400.0
+
+
+def any_claim_counts(view: View, claim: Claim) -> bool:
+    return True
+
+
+def minority(members: int) -> int:
+    return 2
+
+
+def confirms_older_views(newest: View, question: ConfirmAsked, me: Identity) -> bool:
+    return is_member(newest, me)
+
+
+def confirms_without_memory(newest: View, question: ConfirmAsked, me: Identity) -> bool:
+    """A member that has read nothing yet since its restart confirms too."""
+    return newest.number == 0 or may_confirm(newest, question, me)
+
+
+def never_open(old: OpenView, digest: str, now: float) -> bool:
+    return True
+
+
+def one_seal_less(old: OpenView, digest: str, now: float) -> bool:
+    needed = seals_needed(len(old.view.members)) - 1
+    return is_closed(old, digest, now) or len(old.seals) >= max(1, needed)
+
+
+def any_seal_is_enough(old: OpenView, digest: str, now: float) -> bool:
+    return is_closed(old, digest, now) or len(old.seals) >= 1
+
+
+def closed_after_a_wait(old: OpenView, digest: str, now: float) -> bool:
+    """Waits until the old home must have stopped; its claims may be lost though."""
+    began = old.expires - 2e9
+    return is_closed(old, digest, now) or now - began >= WAIT_S
+
+
+def closed_by_namesake(old: OpenView, digest: str, now: float) -> bool:
+    sealed = {s.node for s in old.seals}
+    return is_closed(old, digest, now) or len(sealed) >= 1
+
+
+def runs_again_when_unknown(refusal: Refusal) -> bool:
+    return True
+
+
+FAULTS: dict[str, Faults] = {
+    "half of the members confirm": Faults(replace(RULES, majority=minority)),
+    "confirms in older views": Faults(replace(RULES, may_confirm=confirms_older_views)),
+    "a restarted member confirms": Faults(
+        replace(RULES, may_confirm=confirms_without_memory),
+        namesakes_confirm=True,
+    ),
+    "no seals asked for": Faults(replace(RULES, is_closed=never_open)),
+    "one seal less": Faults(replace(RULES, is_closed=one_seal_less)),
+    "waits in place of seals": Faults(replace(RULES, is_closed=closed_after_a_wait)),
+    "runs again when unknown": Faults(
+        replace(RULES, certainly_not_run=runs_again_when_unknown)
+    ),
+    "restart keeps the incarnation": Faults(keep_incarnation=True),
+    "views heard from peers": Faults(hear_views=True),
+    "an append's answer is trusted": Faults(trust_append=True),
+    "seals without kept claims": Faults(seal_without_kept=True),
+    "only the latest earlier view": Faults(only_latest_view=True),
+}
+
+# A seed that finds each fault; without a find the test searches on from seed 0.
+FIRST_SEEDS: dict[str, int] = {
+    "half of the members confirm": 2646,
+    "confirms in older views": 7369,
+    "a restarted member confirms": 4978,
+    "no seals asked for": 133,
+    "one seal less": 133,
+    "waits in place of seals": 154,
+    "runs again when unknown": 2,
+    "restart keeps the incarnation": 28,
+    "views heard from peers": 23,
+    "an append's answer is trusted": 129,
+    "seals without kept claims": 17,
+    "only the latest earlier view": 615,
+}
