--- a/testing/explorer/faults.py
+++ b/testing/explorer/faults.py
@@ -67,6 +67,7 @@
 
 
 FAULTS: dict[str, Faults] = {
+    "any claim counts": Faults(replace(RULES, claim_counts=any_claim_counts)),
     "half of the members confirm": Faults(replace(RULES, majority=minority)),
     "confirms in older views": Faults(replace(RULES, may_confirm=confirms_older_views)),
     "a restarted member confirms": Faults(
@@ -88,6 +89,7 @@
 
 # A seed that finds each fault; without a find the test searches on from seed 0.
 FIRST_SEEDS: dict[str, int] = {
+    "any claim counts": 10886,
     "half of the members confirm": 2646,
     "confirms in older views": 7369,
     "a restarted member confirms": 4978,
