Run keyed calls through their key's home

Change: control/home.py owns the state and outlives crashes of its task; the confirmer asks members to keep claims (POST /.masticspoke/keep); dispatch/keyed.py finds the home, follows referrals, and runs a granted call by the ordinary attempts, also when its caller goes away meanwhile. Small answers are stored and replayed. The keeper now also passes on reads that reached the end of the stream.

--- a/src/_masticspoke/border/headers.py
+++ b/src/_masticspoke/border/headers.py
@@ -23,7 +23,10 @@
 DEADLINE_HEADER = "Masticspoke-Deadline-Ms"
 REFUSED_HEADER = "Masticspoke-Refused"
 RAN_HEADER = "Masticspoke-Ran"
+HOME_HEADER = "Masticspoke-Home"
+ELSEWHERE_HEADER = "Masticspoke-Elsewhere"
 KEY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "Idempotency-Replayed"
 TRACE_HEADER = "traceparent"
 
 HOP_BY_HOP = frozenset(
--- a/src/_masticspoke/border/paths.py
+++ b/src/_masticspoke/border/paths.py
@@ -5,6 +5,7 @@
 CONTROL_PREFIX = "/.masticspoke/"
 STATUS_PATH = f"{CONTROL_PREFIX}status"
 METRICS_PATH = f"{CONTROL_PREFIX}metrics"
+KEEP_PATH = f"{CONTROL_PREFIX}keep"
 BACKEND_PATH = f"{CONTROL_PREFIX}backend"
 GOSSIP_PATH = f"{CONTROL_PREFIX}gossip"
 CATALOGUE_PATH = f"{CONTROL_PREFIX}catalogue"
--- a/src/_masticspoke/border/settings.py
+++ b/src/_masticspoke/border/settings.py
@@ -14,6 +14,7 @@
 from _masticspoke.border.fields import parse_address
 from _masticspoke.border.ini import read_sections
 from _masticspoke.border.ini import validated
+from _masticspoke.decisions.once.model import OnceLimits
 from _masticspoke.model import Address
 
 
@@ -72,6 +73,31 @@
     connect_timeout_ms: int = Field(default=500, gt=0)
 
 
+@final
+class OnceSection(BorderModel):
+    """Keys of requests that must run at most once."""
+
+    confirm_after_ms: int = Field(default=500, gt=0, le=60_000)
+    retry_ms: int = Field(default=1_000, gt=0, le=60_000)
+    outage_limit_s: float = Field(default=3_600.0, gt=0)
+    key_lifetime_s: float = Field(default=86_400.0, gt=0)
+    answer_ttl_s: float = Field(default=600.0, gt=0)
+    answers_bytes: int = Field(default=8_000_000, ge=0)
+    max_keys: int = Field(default=100_000, gt=0)
+
+    def limits(self) -> OnceLimits:
+        """Return them as the decisions take them, in seconds."""
+        return OnceLimits(
+            confirm_after_s=self.confirm_after_ms / 1000,
+            retry_s=self.retry_ms / 1000,
+            outage_limit_s=self.outage_limit_s,
+            key_lifetime_s=self.key_lifetime_s,
+            answer_ttl_s=self.answer_ttl_s,
+            answers_bytes=self.answers_bytes,
+            max_keys=self.max_keys,
+        )
+
+
 @final
 class LoggingSection(BorderModel):
     """What the node logs, on standard error."""
@@ -88,6 +114,7 @@
     log: LogSection
     peers: PeersSection = PeersSection()
     limits: LimitsSection = LimitsSection()
+    once: OnceSection = OnceSection()
     logging: LoggingSection = LoggingSection()
 
 
--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -119,8 +119,7 @@
             state.members_snapshot = snapshots.snapshot_seen(offset, now)
     if step.replay.complete and step.replay.read_through != before.read_through:
         state.publish(ViewsChanged(step.views, step.replay.read_through))
-    if message.records:
-        state.publish(message)
+    state.publish(message)
     apply_hints(state, step.hints)
     if message.at_end and not state.members_read:
         state.members_read = True
--- a/src/_masticspoke/control/peer_client.py
+++ b/src/_masticspoke/control/peer_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import final
@@ -19,14 +20,20 @@
 from _masticspoke.border.gossip import MAX_MEMBERS_BYTES
 from _masticspoke.border.gossip import ProbeAnswer
 from _masticspoke.border.gossip import ProbeModel
+from _masticspoke.border.once import decode_confirmed
+from _masticspoke.border.once import encode_questions
+from _masticspoke.border.once import MAX_CONFIRM_BYTES
 from _masticspoke.border.paths import CATALOGUE_PATH
 from _masticspoke.border.paths import GOSSIP_PATH
+from _masticspoke.border.paths import KEEP_PATH
 from _masticspoke.border.paths import MEMBERS_PATH
 from _masticspoke.border.paths import PING_PATH
 from _masticspoke.border.paths import PROBE_PATH
 from _masticspoke.border.paths import STATUS_PATH
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.once.model import ConfirmAsked
+from _masticspoke.decisions.once.model import Confirmed
 from _masticspoke.exchange import Connections
 from _masticspoke.messages import Digest
 from _masticspoke.model import Address
@@ -88,6 +95,16 @@
     return await _request(client, "GET", url, MAX_STATUS_BYTES)
 
 
+async def ask_to_keep(
+    client: PeerClient, node: Address, questions: Sequence[ConfirmAsked]
+) -> tuple[Confirmed, ...] | PeerFault:
+    """Return which claims a node keeps for this node's home."""
+    url = f"http://{node}{KEEP_PATH}"
+    body = encode_questions(questions)
+    answer = await _request(client, "POST", url, MAX_CONFIRM_BYTES, body)
+    return _decoded(answer, decode_confirmed)
+
+
 async def ping(client: PeerClient, node: Address) -> bool:
     """Return whether a node answers."""
     url = f"http://{node}{PING_PATH}"
--- a/src/_masticspoke/decisions/once/decide.py
+++ b/src/_masticspoke/decisions/once/decide.py
@@ -43,6 +43,7 @@
 
 def _records_read(state: OnceState, event: RecordsRead, now: float) -> list[OnceEffect]:
     state.last_read_at = now
+    state.log_silent = False
     effects: list[OnceEffect] = []
     for item in event.items:
         if isinstance(item, Claim) and not event.views_known:
--- a/src/_masticspoke/decisions/once/keys.py
+++ b/src/_masticspoke/decisions/once/keys.py
@@ -164,8 +164,9 @@
     state: OnceState, ledger: Ledger, key: Key, now: float
 ) -> list[OnceEffect]:
     limits = state.limits
-    if now - key.since < limits.confirm_after_s:
+    if now - key.since < limits.confirm_after_s and not state.log_silent:
         return []
+    state.log_silent = True
     if now - state.last_read_at >= limits.outage_limit_s:
         return []
     if now - key.asked_at < limits.retry_s:
--- a/src/_masticspoke/decisions/once/state.py
+++ b/src/_masticspoke/decisions/once/state.py
@@ -88,6 +88,8 @@
     :param waiting: those of ``keys`` that wait for the right to run.
     :param kept: claims that this node confirmed and has not read from the log.
     :param unread_seals: by service.
+    :param log_silent: whether a claim was not read back in time, and nothing since;
+        further claims are put to the members at once.
     :param last_read_at: when records or the end of the log were last read.
     """
 
@@ -101,6 +103,7 @@
     unread_seals: dict[str, UnreadSeal] = field(default_factory=dict)
     answers: Answers = field(default_factory=Answers)
     last_read_at: float = NEVER
+    log_silent: bool = False
     next_forgetting_at: float = NEVER
 
 
--- a/src/_masticspoke/dispatch/router.py
+++ b/src/_masticspoke/dispatch/router.py
@@ -30,6 +30,7 @@
 from _masticspoke.messages import CallEnded
 from _masticspoke.messages import CatalogueChanged
 from _masticspoke.messages import MembersChanged
+from _masticspoke.messages import Resume
 from _masticspoke.messages import Target
 from _masticspoke.model import Address
 from _masticspoke.model import Call
@@ -45,7 +46,13 @@
 from _masticspoke.supervise.supervisor import Clock
 
 RouterMessage = (
-    Begin | AttemptFailed | AttemptEnded | CallEnded | CatalogueChanged | MembersChanged
+    Begin
+    | Resume
+    | AttemptFailed
+    | AttemptEnded
+    | CallEnded
+    | CatalogueChanged
+    | MembersChanged
 )
 # A guard that refuses for one of these is not worse than the others.
 _NOT_FAILURES = frozenset(
@@ -98,6 +105,10 @@
     message.reply.answer(_first_target(state, message, now))
 
 
+def _resume(state: _RouterState, message: Resume, now: float) -> None:
+    message.reply.answer(_target(state, first_attempt(message.call), now))
+
+
 def _first_target(state: _RouterState, message: Begin, now: float) -> Target | Refusal:
     trace = message.shape.trace
     action = trace.trace_id if trace else secrets.token_hex(16)
@@ -202,6 +213,7 @@
 
 _HANDLERS: Handlers[_RouterState] = {
     Begin: _begin,
+    Resume: _resume,
     AttemptFailed: _attempt_failed,
     AttemptEnded: _attempt_ended,
     CallEnded: _call_ended,
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -11,9 +11,15 @@
 
 from _masticspoke.border.headers import CALL_HEADER
 from _masticspoke.border.headers import decode_call
+from _masticspoke.border.headers import ELSEWHERE_HEADER
 from _masticspoke.border.headers import encode_report
+from _masticspoke.border.headers import HOME_HEADER
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.paths import CONTROL_PREFIX
+from _masticspoke.decisions.once.model import Elsewhere
+from _masticspoke.dispatch.conduct import Answer
+from _masticspoke.dispatch.keyed import HomePort
+from _masticspoke.dispatch.keyed import serve_forwarded
 from _masticspoke.entry.listener import Handler
 from _masticspoke.exchange import outgoing
 from _masticspoke.exchange import refusal_response
@@ -28,12 +34,15 @@
     tuple[str, str], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ]
 
+_MISDIRECTED = 421
+
 
 def peer_handler(
-    port: GuardPort, buffer_bytes: int, control: ControlHandlers
+    port: GuardPort, home: HomePort, buffer_bytes: int, control: ControlHandlers
 ) -> Handler:
     """Return the handler of the peer port.
 
+    :param home: serves calls whose key is at home here.
     :param control: handlers of control requests, by method and path.
     """
 
@@ -44,6 +53,8 @@
         if isinstance(call, Refusal):
             return refusal_response(call)
         sent = await outgoing(request, buffer_bytes)
+        if HOME_HEADER in request.headers:
+            return _from_home(await serve_forwarded(home, request, call, sent))
 
         async def deliver(
             upstream: aiohttp.ClientResponse, report: LoadReport
@@ -60,6 +71,13 @@
     return handle
 
 
+def _from_home(answer: Answer | Elsewhere) -> web.StreamResponse:
+    if isinstance(answer, Elsewhere):
+        headers = {ELSEWHERE_HEADER: str(answer.node)}
+        return web.Response(status=_MISDIRECTED, headers=headers)
+    return refusal_response(answer) if isinstance(answer, Refusal) else answer
+
+
 async def route_control(
     request: web.BaseRequest, control: ControlHandlers
 ) -> web.StreamResponse:
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -40,6 +40,7 @@
     BACKEND_LEAVING = EventSpec(3002, "INFO", "backend server is leaving")
     BACKEND_LAPSED = EventSpec(3003, "WARNING", "backend server stopped renewing")
     ANNOUNCEMENT_REFUSED = EventSpec(3004, "WARNING", "announcement refused")
+    CLAIMS_MISSED = EventSpec(3101, "ERROR", "home missed records of the log")
     MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
 
 
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -7,6 +7,11 @@
 
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.once.model import Answered
+from _masticspoke.decisions.once.model import ConfirmAsked
+from _masticspoke.decisions.once.model import Confirmed
+from _masticspoke.decisions.once.model import Elsewhere
+from _masticspoke.decisions.once.model import StoredAnswer
 from _masticspoke.decisions.retry import Attempt
 from _masticspoke.model import Address
 from _masticspoke.model import Call
@@ -127,6 +132,15 @@
     reply: Reply[Target | Refusal]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Home to router: choose the first target of a call classified elsewhere."""
+
+    call: Call
+    reply: Reply[Target | Refusal]
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
@@ -439,3 +453,53 @@
     """To gossip: a node acts on a higher catalogue version or knows other members."""
 
     node: Address
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """Home's answer: run the request now, and tell :class:`KeyEnded`."""
+
+
+KeyResult = StoredAnswer | Refusal | Elsewhere | Granted
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AskKey:
+    """Request's task to home: the outcome of a key, or the right to run it.
+
+    :param digest: of service and key.
+    :param fingerprint: the same for the same method, path and body.
+    """
+
+    service: str
+    digest: str
+    fingerprint: int
+    reply: Reply[KeyResult]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeyAbandoned:
+    """Request's task to home: nobody waits for this reply; nothing was run for it."""
+
+    reply: Reply[KeyResult]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeyEnded:
+    """Request's task to home: the run that this reply granted is over."""
+
+    reply: Reply[KeyResult]
+    outcome: Answered | Refusal
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeepClaims:
+    """Peer port to home: another home asks to keep its claims."""
+
+    questions: tuple[ConfirmAsked, ...]
+    reply: Reply[tuple[Confirmed, ...]]
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from dataclasses import dataclass
+from dataclasses import replace
 from random import Random
 from typing import Any
 from typing import final
@@ -18,9 +19,14 @@
 from _masticspoke.border.records import MEMBERS_STREAM
 from _masticspoke.border.settings import Settings
 from _masticspoke.connections import connection_owner
+from _masticspoke.control.confirmer import confirmer
 from _masticspoke.control.departure import departure
 from _masticspoke.control.gossip import gossip
 from _masticspoke.control.gossip import GossipMessage
+from _masticspoke.control.home import home
+from _masticspoke.control.home import HomeMessage
+from _masticspoke.control.home import HomeState
+from _masticspoke.control.home_port import home_handlers
 from _masticspoke.control.keeper import keeper
 from _masticspoke.control.keeper import KeeperMessage
 from _masticspoke.control.knowledge import KeeperState
@@ -30,10 +36,18 @@
 from _masticspoke.control.log_writer import WriterMessage
 from _masticspoke.control.peer_client import PeerClient
 from _masticspoke.control.peer_port import control_handlers
+from _masticspoke.decisions.handling import Handling
 from _masticspoke.decisions.incarnation import first_incarnation
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import process_at
+from _masticspoke.decisions.once.model import SendConfirmAsked
+from _masticspoke.decisions.once.state import OnceState
 from _masticspoke.decisions.own_backend import OwnBackend
 from _masticspoke.decisions.snapshots import SnapshotPolicy
+from _masticspoke.dispatch.conduct import attempts
 from _masticspoke.dispatch.conduct import DispatchPort
+from _masticspoke.dispatch.keyed import HomePort
+from _masticspoke.dispatch.keyed import serve_here
 from _masticspoke.dispatch.router import router
 from _masticspoke.dispatch.router import RouterMessage
 from _masticspoke.entry.announcements import backend_handler
@@ -56,8 +70,10 @@
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.messages import CatalogueChanged
 from _masticspoke.messages import LogHealth
+from _masticspoke.messages import LogRecords
 from _masticspoke.messages import MembersChanged
 from _masticspoke.messages import Resend
+from _masticspoke.messages import ViewsChanged
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.measure import measured
 from _masticspoke.metrics.measure import metrics_handler
@@ -94,6 +110,8 @@
     writer: Mailbox[WriterMessage]
     recorder: Mailbox[RecorderMessage]
     gossip: Mailbox[GossipMessage]
+    home: Mailbox[HomeMessage]
+    confirmer: Mailbox[SendConfirmAsked]
     to_log: Connections
     to_peers: Connections
     to_nodes: Connections
@@ -139,6 +157,8 @@
         writer=Mailbox(capacity),
         recorder=Mailbox(capacity),
         gossip=Mailbox(capacity),
+        home=Mailbox(capacity),
+        confirmer=Mailbox(capacity),
         to_log=Connections(),
         to_peers=Connections(),
         to_nodes=Connections(),
@@ -154,6 +174,8 @@
         "keeper": parts.keeper,
         "writer": parts.writer,
         "recorder": parts.recorder,
+        "home": parts.home,
+        "confirmer": parts.confirmer,
     }
     body = recorder(parts.recorder, mailboxes, time.monotonic)
     return supervisor("metrics", (ChildSpec("recorder", body),), time.monotonic)
@@ -170,6 +192,8 @@
             parts.router.tell(message)
         if isinstance(message, MembersChanged):
             parts.gossip.tell(message)
+        if isinstance(message, ViewsChanged | LogRecords):
+            parts.home.tell(message)
         if isinstance(message, CatalogueChanged | BackendAnnounced | BackendLeaving):
             parts.gate.tell(message)
         if isinstance(message, CatalogueChanged | LogHealth):
@@ -209,10 +233,23 @@
         ChildSpec("catalogue_reader", reader(CATALOGUE_STREAM)),
         ChildSpec("members_reader", reader(MEMBERS_STREAM)),
         ChildSpec("gossip", _gossip(parts)),
+        ChildSpec("home", home(parts.home, _home_state(parts), time.monotonic)),
+        ChildSpec(
+            "confirmer", confirmer(parts.confirmer, parts.home, _peer_client(parts))
+        ),
     )
     return supervisor("control", children, time.monotonic)
 
 
+def _process(parts: _Parts) -> Identity:
+    return process_at(parts.settings.node.peer_address, parts.incarnation)
+
+
+def _home_state(parts: _Parts) -> HomeState:
+    once = OnceState(_process(parts), parts.settings.once.limits())
+    return HomeState(once, parts.writer, parts.confirmer)
+
+
 def _peer_client(parts: _Parts) -> PeerClient:
     return PeerClient(parts.to_peers, parts.settings.peers.request_timeout_ms / 1000)
 
@@ -271,13 +308,19 @@
     port = DispatchPort(
         parts.router, parts.to_nodes, guard_port, time.monotonic, buffer_bytes
     )
+    home_port = HomePort(parts.home, port)
+    serve = {
+        Handling.PLAIN: attempts,
+        Handling.KEYED: lambda _, held, first: serve_here(home_port, held, first),
+    }
+    port = replace(port, serve=serve)
     backend = backend_handler(
         parts.keeper,
         node.peer_address,
         node.zone,
         client_handler(port, from_backend=True),
     )
-    peers = peer_handler(guard_port, buffer_bytes, _control_handlers(parts))
+    peers = peer_handler(guard_port, home_port, buffer_bytes, _control_handlers(parts))
     clients = client_handler(port, from_backend=False)
 
     async def knowing_enough() -> None:
@@ -302,6 +345,7 @@
 def _control_handlers(parts: _Parts) -> ControlHandlers:
     return {
         **control_handlers(parts.keeper, parts.gossip, _peer_client(parts)),
+        **home_handlers(parts.home, _process(parts)),
         ("GET", METRICS_PATH): metrics_handler(parts.recorder),
     }
 
--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -47,6 +47,7 @@
 PAUSES: Mapping[str, str] = {
     "cli/log_access.py": "the log service sends no message when it is up again",
     "control/log_reader.py": "the log service sends no message when it is up again",
+    "dispatch/keyed.py": "a silent home sends no message when another one is agreed",
     "control/log_writer.py": "the log service sends no message when it is up again",
 }
 
