--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -22,6 +22,10 @@
 from _masticspoke.decisions.effects import Run
 from _masticspoke.decisions.limit import announce_slots
 from _masticspoke.decisions.limit import cold_limit
+from _masticspoke.decisions.loops import is_loop
+from _masticspoke.decisions.loops import note_ended
+from _masticspoke.decisions.loops import note_running
+from _masticspoke.decisions.loops import RunningRequests
 from _masticspoke.decisions.occupancy import AdmissionState
 from _masticspoke.decisions.occupancy import admitted_rank
 from _masticspoke.decisions.shares import shares_of
@@ -65,6 +69,7 @@
     admission: AdmissionState
     replies: dict[int, Reply[Admitted | NotAdmitted]] = field(default_factory=dict)
     tickets: dict[Reply[Admitted | NotAdmitted], int] = field(default_factory=dict)
+    requests: RunningRequests = field(default_factory=RunningRequests)
     backend: Backend = field(default_factory=Backend)
     latency_s: float = 0.0
     catalogue_version: int = 0
@@ -97,15 +102,18 @@
 def _admit(
     tickets: Iterator[int], state: _GateState, message: Admit, now: float
 ) -> None:
+    call = message.call
     reason = why_no_work(state.backend, now)
+    if is_loop(state.requests, call, message.fingerprint):
+        reason = Reason.LOOP
     if reason is not None:
-        refusal = Refusal(reason)
-        message.reply.answer(NotAdmitted(refusal, _load(state, now)))
+        message.reply.answer(NotAdmitted(Refusal(reason), _load(state, now)))
         return
     ticket = next(tickets)
     state.replies[ticket] = message.reply
     state.tickets[message.reply] = ticket
-    _apply(state, admission.arrive(state.admission, ticket, message.call, now), now)
+    note_running(state.requests, ticket, call, message.fingerprint)
+    _apply(state, admission.arrive(state.admission, ticket, call, now), now)
 
 
 def _finished(state: _GateState, message: Finished, now: float) -> None:
@@ -131,6 +139,7 @@
 
 
 def _forget(state: _GateState, ticket: int) -> Reply[Admitted | NotAdmitted] | None:
+    note_ended(state.requests, ticket)
     reply = state.replies.pop(ticket, None)
     if reply is not None:
         del state.tickets[reply]
