--- a/src/_masticspoke/decisions/occupancy.py
+++ b/src/_masticspoke/decisions/occupancy.py
@@ -153,7 +153,9 @@
     free = limit - len(state.running)
     if free <= 0 or is_capped(state, key.kind):
         return False
-    if hold_s(state, key.kind) <= _RETURN_S * limit or not state.running:
+    if hold_s(state, key.kind) <= _RETURN_S * limit:
+        return True
+    if _class_below_floor(state, key.rank) or not state.running:
         return True
     return free > unused_floors(
         _demanded(state, now), state.running_of_rank, limit, except_rank=key.rank
@@ -171,7 +173,7 @@
 
 def is_capped(state: AdmissionState, kind: str) -> bool:
     cap = cap_of(state.shares, kind, state.limit.limit)
-    return state.running_of_kind.get(kind, 0) >= cap
+    return cap is not None and state.running_of_kind.get(kind, 0) >= cap
 
 
 def lane_allowance(
--- a/src/_masticspoke/decisions/shares.py
+++ b/src/_masticspoke/decisions/shares.py
@@ -43,10 +43,10 @@
     return Shares(classes, entries, caps)
 
 
-def cap_of(shares: Shares, kind: str, limit: int) -> int:
-    """Return how many calls of a kind may run at once under a limit."""
+def cap_of(shares: Shares, kind: str, limit: int) -> int | None:
+    """Return how many calls of a kind may run at once, if the catalogue says so."""
     share = shares.caps.get(kind)
-    return limit if share is None else max(1, int(share * limit))
+    return None if share is None else max(1, int(share * limit))
 
 
 def unused_floors(
--- /dev/null
+++ b/testing/decisions/test_admission.py
@@ -0,0 +1,341 @@
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from _masticspoke.decisions import admission
+from _masticspoke.decisions.effects import Effect
+from _masticspoke.decisions.effects import Refuse
+from _masticspoke.decisions.effects import Run
+from _masticspoke.decisions.limit import LimitState
+from _masticspoke.decisions.occupancy import AdmissionState
+from _masticspoke.decisions.occupancy import admitted_rank
+from _masticspoke.decisions.occupancy import ALL_RANKS
+from _masticspoke.decisions.occupancy import hold_s
+from _masticspoke.decisions.shares import shares_of
+from _masticspoke.model import Call
+from _masticspoke.model import Catalogue
+from _masticspoke.model import ClassSpec
+from _masticspoke.model import Entry
+from _masticspoke.model import Ran
+from _masticspoke.refusals import Reason
+
+FLOORS = (0, 20, 30, 10)
+QUEUE = 12
+
+
+def entry(kind: str, rank: int, floor: float = 0.0, limit: float = 100.0) -> Entry:
+    return Entry(
+        kind=kind,
+        owner="o",
+        class_name=f"c{rank}",
+        rank=rank,
+        service="s",
+        method="GET",
+        path=f"/{kind}",
+        deadline_ms=1_000,
+        idempotent=True,
+        floor_percent=floor,
+        limit_percent=limit,
+    )
+
+
+def make_state(limit: int, queue: int = QUEUE, *entries: Entry) -> AdmissionState:
+    classes = tuple(ClassSpec(f"c{r}", r, f) for r, f in enumerate(FLOORS))
+    shares = shares_of(Catalogue(1, classes, entries))
+    learnt = LimitState(ceiling=limit, value=float(limit))
+    return AdmissionState(queue, Random(1), learnt, shares)
+
+
+def call(
+    rank: int = 1,
+    kind: str = "",
+    deadline: float = 10.0,
+    depth: int = 0,
+    shed_last: bool = False,
+) -> Call:
+    return Call(
+        action="a",
+        kind=kind or f"k{rank}",
+        service="s",
+        rank=rank,
+        deadline=deadline,
+        idempotent=not shed_last,
+        shed_last=shed_last,
+        depth=depth,
+    )
+
+
+def arrive(state: AdmissionState, *calls: Call, now: float = 0.0) -> list[Effect]:
+    first = len(state.waiting) + len(state.running) + 1
+    effects: list[Effect] = []
+    for ticket, each in enumerate(calls, first):
+        effects += admission.arrive(state, ticket, each, now)
+    return effects
+
+
+def refusals(effects: list[Effect]) -> list[tuple[int, Reason]]:
+    return [(e.ticket, e.refusal.reason) for e in effects if isinstance(e, Refuse)]
+
+
+def runs(effects: list[Effect] | tuple[Effect, ...]) -> list[int]:
+    return [e.ticket for e in effects if isinstance(e, Run)]
+
+
+def test_free_slots_are_used_whatever_the_class() -> None:
+    state = make_state(4)
+    assert runs(arrive(state, *[call(rank=3)] * 4)) == [1, 2, 3, 4]
+
+
+def test_borrowed_slot_goes_back_with_the_next_finish() -> None:
+    state = make_state(4)
+    arrive(state, *[call(rank=0)] * 4, call(rank=0), call(rank=2))
+    assert runs(admission.finish(state, 1, None, 0.1)) == [6]
+    assert runs(admission.finish(state, 2, None, 0.1)) == [5]
+
+
+def test_urgent_class_goes_first_beyond_floors() -> None:
+    state = make_state(4)
+    arrive(state, *[call(rank=3)] * 4, call(rank=3), call(rank=0))
+    assert runs(admission.finish(state, 1, None, 0.1)) == [6]
+
+
+def test_work_already_begun_goes_before_new_work_of_its_class() -> None:
+    state = make_state(1)
+    arrive(state, call(), call(), call(depth=2))
+    assert runs(admission.finish(state, 1, None, 0.1)) == [3]
+
+
+def test_kind_that_holds_least_goes_first_within_a_class() -> None:
+    state = make_state(4)
+    flood = [call(rank=0, kind="flood")] * 4
+    arrive(state, *flood, call(rank=0, kind="flood"), call(rank=0, kind="calm"))
+    assert runs(admission.finish(state, 1, None, 0.1)) == [6]
+
+
+def test_entry_below_its_floor_goes_first_within_a_class() -> None:
+    state = make_state(10, QUEUE, entry("kept", 2, floor=100))
+    arrive(state, *[call(rank=2, kind="kept")] * 2, *[call(rank=2, kind="x")] * 8)
+    arrive(state, call(rank=2, kind="kept"), call(rank=2, kind="x"))
+    assert runs(admission.finish(state, 3, None, 0.1)) == [11]
+
+
+def test_capped_entry_waits_and_is_then_refused_by_name() -> None:
+    state = make_state(10, QUEUE, entry("capped", 1, limit=20))
+    effects = arrive(state, *[call(kind="capped")] * 5)
+    assert runs(effects) == [1, 2]
+    assert refusals(effects) == [(5, Reason.ENTRY_LIMIT)]
+
+
+def test_full_queue_displaces_the_least_urgent_and_says_it_did_not_run() -> None:
+    state = make_state(1, 2)
+    state.shares = shares_of(Catalogue(1))
+    effects = arrive(state, call(0), call(3), call(2), call(1))
+    (refused,) = [e for e in effects if isinstance(e, Refuse)]
+    assert (refused.ticket, refused.refusal.reason) == (2, Reason.DISPLACED)
+    assert refused.refusal.ran is Ran.NO
+    assert refused.refusal.retry_after_s > 0
+
+
+def test_shed_last_displaces_all_others_and_is_not_displaced_by_them() -> None:
+    state = make_state(1, 2)
+    state.shares = shares_of(Catalogue(1))
+    booking = call(3, "booking", shed_last=True)
+    effects = arrive(state, call(0), call(0), call(1), booking)
+    assert refusals(effects) == [(3, Reason.DISPLACED)]
+    assert runs(admission.finish(state, 1, None, 0.1)) == [4]
+
+
+def test_class_keeps_queue_places_for_its_floor() -> None:
+    state = make_state(1, 10)
+    arrive(state, call(0))
+    for ticket in range(10, 30):
+        admission.arrive(state, ticket, call(0, f"k{ticket}"), 0.0)
+        admission.arrive(state, 100 + ticket, call(2, f"m{ticket}"), 0.0)
+    assert state.waiting.by_rank[2] >= 3
+
+
+def test_less_urgent_class_without_floor_is_refused_at_once() -> None:
+    state = make_state(1)
+    effects = arrive(state, *[call(0)] * 4)
+    assert refusals(effects) == [(4, Reason.QUEUE_FULL)]
+    assert admitted_rank(state, 0.1) == 0
+    assert refusals([*admission.arrive(state, 9, call(7), 0.1)]) == [
+        (9, Reason.RANK_NOT_ADMITTED)
+    ]
+    assert admitted_rank(state, 1.0) == ALL_RANKS
+
+
+def test_call_that_takes_longer_than_it_has_is_refused_before_it_runs() -> None:
+    state = make_state(2)
+    arrive(state, call())
+    admission.finish(state, 1, None, 2.0)
+    arrive(state, call(deadline=10.0), now=2.0)
+    late = admission.arrive(state, 9, call(deadline=3.0), 2.0)
+    assert refusals([*late]) == [(9, Reason.DEADLINE_UNMEETABLE)]
+
+
+def test_one_call_still_tries_when_a_kind_has_become_slow() -> None:
+    state = make_state(2)
+    arrive(state, call())
+    admission.finish(state, 1, None, 8.0)
+    assert runs(admission.arrive(state, 9, call(deadline=9.0), 8.0)) == [9]
+
+
+def test_queued_call_is_refused_once_it_can_not_be_answered_in_time() -> None:
+    state = make_state(1)
+    arrive(state, call(), call(rank=2, deadline=5.0))
+    assert admission.next_expiry(state) == 5.0
+    assert admission.expire(state, 4.9) == ()
+    assert refusals([*admission.expire(state, 5.0)]) == [
+        (2, Reason.DEADLINE_UNMEETABLE)
+    ]
+
+
+def test_withdrawn_call_never_runs() -> None:
+    state = make_state(1)
+    arrive(state, call(), call())
+    admission.withdraw(state, 2)
+    assert admission.finish(state, 1, None, 0.1) == ()
+
+
+def test_run_whose_end_was_lost_is_found_after_its_deadline() -> None:
+    state = make_state(1)
+    arrive(state, call(deadline=1.0))
+    assert admission.overdue(state, 1.5) == []
+    assert admission.overdue(state, 10.0) == [1]
+
+
+class Guard(RuleBasedStateMachine):
+    """Any order of events keeps the promises of the guard."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        capped = entry("k1-capped", 1, limit=30)
+        kept = entry("k2-kept", 2, floor=50)
+        self.state = make_state(6, QUEUE, capped, kept)
+        self.now = 0.0
+        self.calls: dict[int, Call] = {}
+        self.ran: set[int] = set()
+        self.refused: set[int] = set()
+        self.gone: set[int] = set()
+
+    def take(self, effects: tuple[Effect, ...]) -> None:
+        for effect in effects:
+            assert effect.ticket not in self.ran | self.refused | self.gone
+            if isinstance(effect, Run):
+                assert self.now < self.calls[effect.ticket].deadline
+                self.ran.add(effect.ticket)
+            else:
+                assert effect.refusal.ran is Ran.NO
+                self.refused.add(effect.ticket)
+        displaced = [t for t, r in refusals([*effects]) if r is Reason.DISPLACED]
+        if any(self.calls[t].shed_last for t in displaced):
+            others = self.state.waiting.keys
+            assert all(self.calls[t].shed_last for t in others)
+        if runs(effects):
+            assert len(self.state.running) <= self.state.limit.limit
+
+    @rule(
+        rank=st.integers(0, 3),
+        kind=st.sampled_from(["", "capped", "kept"]),
+        depth=st.integers(0, 1),
+        shed_last=st.booleans(),
+        remaining=st.sampled_from([0.0, 1.0, 5.0, 30.0]),
+        burst=st.integers(1, 6),
+    )
+    def arrive(
+        self,
+        rank: int,
+        kind: str,
+        depth: int,
+        shed_last: bool,
+        remaining: float,
+        burst: int,
+    ) -> None:
+        name = f"k{rank}-{kind}"
+        made = call(rank, name, self.now + remaining, depth, shed_last)
+        for _ in range(burst):
+            ticket = len(self.calls) + 1
+            self.calls[ticket] = made
+            self.take(admission.arrive(self.state, ticket, made, self.now))
+
+    @rule(pick=st.integers(0, 5), measured=st.booleans())
+    def finishes(self, pick: int, measured: bool) -> None:
+        tickets = sorted(self.state.running)
+        if not tickets:
+            return
+        ticket = tickets[pick % len(tickets)]
+        head_s = 0.1 if measured else None
+        before = self.floors_in_need(self.calls[ticket].kind)
+        effects = admission.finish(self.state, ticket, head_s, self.now)
+        self.take(effects)
+        if before and runs(effects):
+            first = self.calls[runs(effects)[0]].rank
+            assert first in before | {self.calls[ticket].rank}
+
+    def floors_in_need(self, finished: str) -> set[int]:
+        """Ranks that wait below their floor, with calls that nothing else stops."""
+        held, limit = self.state.running_of_rank, self.state.limit.limit
+        return {
+            key.rank
+            for key, lane in self.state.waiting.lanes.items()
+            if held.get(key.rank, 0) < FLOORS[key.rank] / 100 * limit
+            and not key.kind.endswith("capped")
+            and key.kind != finished
+            and all(
+                c.deadline > self.now + hold_s(self.state, key.kind)
+                for c in lane.values()
+            )
+        }
+
+    @rule(pick=st.integers(0, 20))
+    def caller_goes(self, pick: int) -> None:
+        tickets = sorted(self.state.waiting.keys)
+        if tickets:
+            ticket = tickets[pick % len(tickets)]
+            admission.withdraw(self.state, ticket)
+            self.gone.add(ticket)
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+        self.take(admission.expire(self.state, self.now))
+
+    @rule(limit=st.integers(1, 10))
+    def limit_changes(self, limit: int) -> None:
+        self.state.limit = LimitState(ceiling=limit, value=float(limit))
+
+    @invariant()
+    def every_call_is_in_one_place(self) -> None:
+        waiting = set(self.state.waiting.keys)
+        assert waiting.isdisjoint(self.ran | self.refused | self.gone)
+        assert set(self.calls) == waiting | self.ran | self.refused | self.gone
+        assert set(self.state.running) <= self.ran
+
+    @invariant()
+    def bounds_hold(self) -> None:
+        assert len(self.state.waiting) <= QUEUE
+        assert len(self.state.waiting.expiries) <= 2 * QUEUE + 64 + 1
+        capped = sum(r.call.kind == "k1-capped" for r in self.state.running.values())
+        assert capped <= max(1, int(0.3 * 10))
+
+    @invariant()
+    def counts_agree(self) -> None:
+        for rank, held in self.state.running_of_rank.items():
+            found = [r for r in self.state.running.values() if r.call.rank == rank]
+            assert held == len(found)
+        waiting = self.state.waiting
+        assert sum(waiting.by_rank.values()) == len(waiting)
+        assert sum(len(lane) for lane in waiting.lanes.values()) == len(waiting)
+
+
+TestGuard = Guard.TestCase
+TestGuard.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
