--- a/src/_masticspoke/border/announcement.py
+++ b/src/_masticspoke/border/announcement.py
@@ -8,7 +8,6 @@
 
 from _masticspoke.border.fields import AddressField
 from _masticspoke.border.fields import BorderModel
-from _masticspoke.messages import BackendAnnounced
 from _masticspoke.model import Address
 from _masticspoke.model import Member
 
@@ -28,8 +27,8 @@
     incarnation: str = Field(default="", max_length=64)
 
 
-def decode_announcement(body: bytes, node: Address, zone: str) -> BackendAnnounced:
-    """Return the announcement of the backend server beside ``node``.
+def decode_announcement(body: bytes, node: Address, zone: str) -> tuple[Member, float]:
+    """Return the backend server beside ``node`` and its time to live in seconds.
 
     Its incarnation is the backend server's own; the keeper sets the node's one.
 
@@ -45,4 +44,4 @@
         slots=model.slots,
         connections=model.connections,
     )
-    return BackendAnnounced(member, model.ttl_ms / 1000)
+    return member, model.ttl_ms / 1000
--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -26,11 +26,13 @@
 from _masticspoke.decisions.log_health import note
 from _masticspoke.decisions.log_health import Turn
 from _masticspoke.decisions.members import Left
+from _masticspoke.decisions.own_backend import refuse_announcement
 from _masticspoke.decisions.replay import Snapshot
 from _masticspoke.decisions.streams import read_catalogue
 from _masticspoke.decisions.streams import read_members
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
+from _masticspoke.messages import Announce
 from _masticspoke.messages import AppendRecord
 from _masticspoke.messages import AskDigest
 from _masticspoke.messages import AskKnowledge
@@ -62,7 +64,7 @@
     LogRecords
     | LogHealth
     | AskPosition
-    | BackendAnnounced
+    | Announce
     | BackendLeaving
     | NodeStopping
     | PeerNews
@@ -156,8 +158,11 @@
     _ready_without_log(state)
 
 
-def _announced(state: KeeperState, message: BackendAnnounced, now: float) -> None:
-    if state.stopping:
+def _announce(state: KeeperState, message: Announce, now: float) -> None:
+    catalogue = state.catalogue.catalogue
+    refusal = refuse_announcement(catalogue, message.member, stopping=state.stopping)
+    message.reply.answer(refusal)
+    if refusal is not None:
         return
     before = state.own
     state.own = own_backend.announce(before, message.member, message.ttl_s, now)
@@ -285,7 +290,7 @@
     LogRecords: _log_records,
     LogHealth: _log_health,
     AskPosition: _ask_position,
-    BackendAnnounced: _announced,
+    Announce: _announce,
     BackendLeaving: _leaving,
     NodeStopping: _node_stopping,
     PeerNews: _peer_news,
--- a/src/_masticspoke/control/peer_port.py
+++ b/src/_masticspoke/control/peer_port.py
@@ -25,6 +25,7 @@
 from _masticspoke.control.peer_client import ping
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.peers import ControlHandlers
+from _masticspoke.exchange import read_bounded
 from _masticspoke.exchange import refusal_response
 from _masticspoke.messages import AskDigest
 from _masticspoke.messages import AskKnowledge
@@ -124,18 +125,6 @@
     return web.Response(status=204)
 
 
-async def read_bounded(request: web.BaseRequest, limit: int) -> bytes | None:
-    """Return a request's body, or ``None`` if it has more than ``limit`` bytes."""
-    if (request.content_length or 0) > limit:
-        return None
-    found = bytearray()
-    async for chunk in request.content.iter_any():
-        found += chunk
-        if len(found) > limit:
-            return None
-    return bytes(found)
-
-
 async def _knowledge(keeper: Mailbox[KeeperMessage]) -> Knowledge | None:
     reply: Reply[Knowledge] = Reply()
     return await ask(keeper, AskKnowledge(reply), reply)
--- a/src/_masticspoke/decisions/own_backend.py
+++ b/src/_masticspoke/decisions/own_backend.py
@@ -13,7 +13,10 @@
 from _masticspoke.decisions.members import Left
 from _masticspoke.decisions.members import MembersState
 from _masticspoke.model import Address
+from _masticspoke.model import Catalogue
 from _masticspoke.model import Member
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
 
 REPEAT_S = 5.0
 
@@ -44,6 +47,22 @@
     told_at: float = 0.0
 
 
+def refuse_announcement(
+    catalogue: Catalogue, member: Member, *, stopping: bool
+) -> Refusal | None:
+    """Return why an announcement is refused, or ``None``.
+
+    While no catalogue is known, every service may turn out to be in it.
+    """
+    if stopping:
+        return Refusal(Reason.STOPPING, detail="this node is stopping")
+    version = catalogue.version
+    if version == 0 or member.service in {e.service for e in catalogue.entries}:
+        return None
+    detail = f"service {member.service} has no entry in catalogue version {version}"
+    return Refusal(Reason.UNKNOWN_SERVICE, detail=detail)
+
+
 def announce(own: OwnBackend, member: Member, ttl_s: float, now: float) -> OwnBackend:
     """Return the state after an announcement or its renewal.
 
--- a/src/_masticspoke/entry/announcements.py
+++ b/src/_masticspoke/entry/announcements.py
@@ -14,14 +14,16 @@
 from _masticspoke.entry.peers import route_control
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
+from _masticspoke.exchange import read_bounded
 from _masticspoke.exchange import refusal_response
-from _masticspoke.messages import BackendAnnounced
+from _masticspoke.messages import Announce
 from _masticspoke.messages import BackendLeaving
 from _masticspoke.model import Address
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
 
 _MAX_BYTES = 65_536
 
@@ -37,20 +39,13 @@
     :param calls: handler of the backend server's outgoing calls.
     """
 
-    async def announce(request: web.BaseRequest) -> web.StreamResponse:
-        if (request.content_length or 0) > _MAX_BYTES:
-            return _refuse(f"announcement longer than {_MAX_BYTES} bytes")
-        try:
-            found = decode_announcement(await request.read(), node, zone)
-        except ValidationError as error:
-            return _refuse(f"{error.error_count()} faults in the announcement")
-        return _told(keeper.tell(BackendAnnounced(found.member, found.ttl_s)))
-
     async def leave(request: web.BaseRequest) -> web.StreamResponse:
-        return _told(keeper.tell(BackendLeaving()))
+        if keeper.tell(BackendLeaving()) is Delivery.FULL:
+            return refusal_response(Refusal(Reason.BUSY))
+        return web.Response(status=204)
 
     control: ControlHandlers = {
-        ("PUT", BACKEND_PATH): announce,
+        ("PUT", BACKEND_PATH): _announce_handler(keeper, node, zone),
         ("DELETE", BACKEND_PATH): leave,
     }
 
@@ -62,12 +57,34 @@
     return handle
 
 
-def _refuse(detail: str) -> web.Response:
-    log_event(Event.ANNOUNCEMENT_REFUSED, detail=detail)
-    return refusal_response(Refusal(Reason.MALFORMED, detail=detail))
+def _announce_handler(
+    keeper: Mailbox[KeeperMessage], node: Address, zone: str
+) -> Handler:
+    async def announce(request: web.BaseRequest) -> web.StreamResponse:
+        body = await read_bounded(request, _MAX_BYTES)
+        if body is None:
+            return _refuse(_malformed(f"announcement longer than {_MAX_BYTES} bytes"))
+        try:
+            member, ttl_s = decode_announcement(body, node, zone)
+        except ValidationError as error:
+            found = f"{error.error_count()} faults in the announcement"
+            return _refuse(_malformed(found))
+        reply: Reply[Refusal | None] = Reply()
+        delivery = keeper.tell(Announce(member, ttl_s, reply))
+        if delivery is Delivery.FULL:
+            return refusal_response(Refusal(Reason.BUSY))
+        refusal = await reply.value()
+        return web.Response(status=204) if refusal is None else _refuse(refusal)
+
+    return announce
+
+
+def _malformed(detail: str) -> Refusal:
+    return Refusal(Reason.MALFORMED, detail=detail)
 
 
-def _told(delivery: Delivery) -> web.Response:
-    if delivery is Delivery.FULL:
-        return refusal_response(Refusal(Reason.BUSY))
-    return web.Response(status=204)
+def _refuse(refusal: Refusal) -> web.Response:
+    log_event(
+        Event.ANNOUNCEMENT_REFUSED, reason=refusal.reason.value, detail=refusal.detail
+    )
+    return refusal_response(refusal)
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -122,6 +122,18 @@
     return Outgoing(request.method, request.raw_path, headers, body, length, account)
 
 
+async def read_bounded(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Return a request's body, or ``None`` if it has more than ``limit`` bytes."""
+    if (request.content_length or 0) > limit:
+        return None
+    found = bytearray()
+    async for chunk in request.content.iter_any():
+        found += chunk
+        if len(found) > limit:
+            return None
+    return bytes(found)
+
+
 async def relay(
     request: web.BaseRequest,
     upstream: aiohttp.ClientResponse,
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -56,10 +56,24 @@
     read_through: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """Entry to keeper: the own backend server announced or renewed itself.
+
+    :param member: without an incarnation of the node.
+    :param reply: why the announcement is refused, or ``None``.
+    """
+
+    member: Member
+    ttl_s: float
+    reply: Reply[Refusal | None]
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class BackendAnnounced:
-    """The own backend server announced or renewed itself."""
+    """The own backend server takes work, under this incarnation."""
 
     member: Member
     ttl_s: float
--- a/src/_masticspoke/refusals.py
+++ b/src/_masticspoke/refusals.py
@@ -16,6 +16,7 @@
 
     MALFORMED = "malformed"
     UNKNOWN_KIND = "unknown-kind"
+    UNKNOWN_SERVICE = "unknown-service"
     NO_CATALOGUE = "no-catalogue"
     LOOP = "loop"
     DEADLINE_PASSED = "deadline-passed"
@@ -64,6 +65,9 @@
     Reason.UNKNOWN_KIND: ReasonSpec(
         404, False, "add an entry for this method and path to the catalogue"
     ),
+    Reason.UNKNOWN_SERVICE: ReasonSpec(
+        422, False, "correct the service, or add an entry for it to the catalogue"
+    ),
     Reason.NO_CATALOGUE: ReasonSpec(
         503, False, "apply a catalogue, or wait until this node has learnt it"
     ),
--- /dev/null
+++ b/testing/decisions/test_liveness.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from _masticspoke.decisions.liveness import choose_confirmer
+from _masticspoke.decisions.liveness import choose_partners
+from _masticspoke.decisions.liveness import note_round
+from _masticspoke.decisions.liveness import SILENT_ROUNDS
+from _masticspoke.decisions.liveness import watched
+from _masticspoke.decisions.liveness import WATCHED_NEIGHBOURS
+from _masticspoke.model import Address
+from _masticspoke.model import Member
+
+
+def node(port: int) -> Address:
+    return Address("127.0.0.1", port)
+
+
+def member(port: int, service: str) -> Member:
+    return Member(service, node(port), node(port), "kochi-a", "i", 1, 1)
+
+
+@given(st.lists(st.integers(1, 6), min_size=1, max_size=6))
+def test_every_member_is_watched_by_as_many_as_there_can_be(sizes: list[int]) -> None:
+    members = [
+        member(100 * service + number, f"s{service}")
+        for service, size in enumerate(sizes, 1)
+        for number in range(size)
+    ]
+    watchers: Counter[Address] = Counter()
+    for each in members:
+        found = watched(members, each.node)
+        assert each.node not in found
+        watchers.update(found)
+
+    possible = min(WATCHED_NEIGHBOURS, len(members) - 1)
+    assert all(watchers[m.node] == possible for m in members)
+
+
+def test_silence_counts_only_in_a_row() -> None:
+    failures: dict[Address, int] = {}
+    seen = []
+    for up in [False] * (SILENT_ROUNDS - 1) + [True] + [False] * SILENT_ROUNDS:
+        failures, suspects = note_round(failures, {node(1): up})
+        seen.append(suspects)
+
+    assert seen == [()] * (2 * SILENT_ROUNDS - 1) + [(node(1),)]
+
+
+def test_confirmer_is_another_one_that_answers() -> None:
+    members = [member(n, "s") for n in (1, 2, 3)]
+
+    assert choose_confirmer(members, {node(2): 3}, node(1), Random(1)) == node(3)
+    assert choose_confirmer(members[:2], {node(2): 3}, node(1), Random(1)) is None
+
+
+def test_partners_include_seeds_and_not_oneself() -> None:
+    found = choose_partners([member(1, "s")], [node(2)], node(1), 16, Random(1))
+
+    assert found == (node(2),)
--- a/testing/decisions/test_own_backend.py
+++ b/testing/decisions/test_own_backend.py
@@ -2,34 +2,125 @@
 
 from dataclasses import replace
 
-from _masticspoke.decisions.own_backend import announce
-from _masticspoke.decisions.own_backend import has_lapsed
-from _masticspoke.decisions.own_backend import leave
+from hypothesis import given
+from hypothesis import strategies as st
+
+from _masticspoke.border.records import INCARNATION
+from _masticspoke.decisions import own_backend
+from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.hints import joined
+from _masticspoke.decisions.incarnation import after
+from _masticspoke.decisions.incarnation import first_incarnation
+from _masticspoke.decisions.members import Joined
+from _masticspoke.decisions.members import Left
+from _masticspoke.decisions.members import MembersState
+from _masticspoke.decisions.members import reduce_membership
 from _masticspoke.decisions.own_backend import OwnBackend
 from _masticspoke.model import Address
+from _masticspoke.model import Catalogue
+from _masticspoke.model import Entry
 from _masticspoke.model import Member
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
 
-NODE = Address("10.0.0.1", 8081)
-SENT = Member("desk", Address("10.0.0.1", 80), NODE, "z", "process-1", 5, 10)
+NODE = Address("127.0.0.1", 1)
+MEMBER = Member("dennik", Address("127.0.0.1", 2), NODE, "sk-central-a", "", 60, 440)
+FIRST = first_incarnation(1_000, "ab")
 
 
 def announced() -> OwnBackend:
-    return announce(OwnBackend(NODE, "0123456789ab-00-0000"), SENT, 3.0, now=0.0)
+    return own_backend.announce(OwnBackend(NODE, FIRST), MEMBER, 3.0, now=0.0)
+
+
+def test_renewal_keeps_the_incarnation_and_a_restart_gets_a_newer_one() -> None:
+    own = announced()
+    renewed = own_backend.announce(own, MEMBER, 3.0, now=2.0)
+    restarted = own_backend.announce(
+        renewed, replace(MEMBER, incarnation="next"), 3.0, now=2.5
+    )
+
+    assert renewed.incarnation == own.incarnation > FIRST
+    assert restarted.incarnation > renewed.incarnation
+    assert not own_backend.has_lapsed(renewed, 4.9)
+    assert own_backend.has_lapsed(renewed, 5.0)
+    assert not own_backend.has_lapsed(own_backend.leave(renewed), 99.0)
+
+
+def test_record_is_given_again_until_the_log_has_it() -> None:
+    own, first = own_backend.next_record(announced(), MembersState(), 0.0)
+    own, soon = own_backend.next_record(own, MembersState(), 1.0)
+    own, later = own_backend.next_record(own, MembersState(), own_backend.REPEAT_S)
+    assert own.member is not None
+    assert first == later == Joined(own.member)
+    assert soon is None
+
+    state = reduce_membership(MembersState(), first, 0)
+    assert own_backend.next_record(own, state, 99.0)[1] is None
+    left = own_backend.leave(own)
+    assert own_backend.next_record(left, state, 99.0)[1] == Left(NODE, own.incarnation)
+
+
+def test_node_taken_for_dead_joins_again_under_a_newer_incarnation() -> None:
+    own = announced()
+
+    again = own_backend.contradicted(own, Hint(NODE, own.incarnation))
+
+    assert again.incarnation > own.incarnation
+    assert again.member is not None
+    assert own_backend.own_hint(again) == joined(again.member)
+    assert own_backend.contradicted(own, own_backend.own_hint(own)) is own
+    left = own_backend.leave(own)
+    assert own_backend.contradicted(left, own_backend.own_hint(left)) is left
+
+
+@given(st.integers(0, 2**47), st.integers(0, 2**47), st.integers(0, 2**16 - 1))
+def test_next_incarnation_is_newer_than_all_that_was_heard(
+    own_ms: int, seen_ms: int, serial: int
+) -> None:
+    own = first_incarnation(own_ms, "cd")
+    seen = f"{seen_ms:012x}-ef-{serial:04x}"
+
+    following = after(own, seen)
+
+    assert following > own
+    assert following > seen
+    assert INCARNATION.fullmatch(following)
+
+
+def test_announcement_for_a_service_without_an_entry_is_refused() -> None:
+    entry = Entry("r", "o", "line", 1, "planovac", "GET", "/r", 1, True)
+    catalogue = Catalogue(version=3, entries=(entry,))
+    refuse = own_backend.refuse_announcement
+
+    unknown = refuse(catalogue, MEMBER, stopping=False)
+    assert isinstance(unknown, Refusal)
+    assert unknown.reason is Reason.UNKNOWN_SERVICE
+    assert refuse(Catalogue(), MEMBER, stopping=False) is None
+    planovac = replace(MEMBER, service="planovac")
+    assert refuse(catalogue, planovac, stopping=False) is None
+    stopping = refuse(catalogue, planovac, stopping=True)
+    assert isinstance(stopping, Refusal)
+    assert stopping.reason is Reason.STOPPING
 
 
 def test_a_renewal_that_comes_after_its_sender_left_changes_nothing() -> None:
-    left = leave(announced())
-    assert announce(left, SENT, 3.0, now=0.1) == left
+    left = own_backend.leave(announced())
+    assert own_backend.announce(left, MEMBER, 3.0, now=0.1) == left
 
 
 def test_the_next_process_of_the_backend_server_takes_work_at_once() -> None:
-    left = leave(announced())
-    again = announce(left, replace(SENT, incarnation="process-2"), 3.0, now=0.1)
+    left = own_backend.leave(announced())
+    again = own_backend.announce(
+        left, replace(MEMBER, incarnation="process-2"), 3.0, now=0.1
+    )
     assert again.member is not None
     assert again.incarnation > left.incarnation
 
 
 def test_a_backend_server_that_lapsed_takes_work_when_it_renews() -> None:
     own = announced()
-    assert has_lapsed(own, now=3.0)
-    assert announce(leave(own), SENT, 3.0, now=3.0).member is not None
+    assert own_backend.has_lapsed(own, now=3.0)
+    assert (
+        own_backend.announce(own_backend.leave(own), MEMBER, 3.0, now=3.0).member
+        is not None
+    )
