Give the second node time to confirm silence

Cause: a paused node accepts connections and never answers; the probe of the second node and the wait for its verdict had the same limit, so no silence of that kind was ever confirmed (seen: a SIGSTOPped node still in after 15 s). Change: the asking node waits three times as long. Proof: testing/live/test_control.py failed on it, then passed twice. New there: lost append answers, 10 appends/s, 40 retained records; a node without the log; SIGSTOP and SIGCONT.

--- a/src/_masticspoke/control/peer_client.py
+++ b/src/_masticspoke/control/peer_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 from typing import final
 from typing import TypeVar
@@ -115,7 +116,9 @@
     """Return whether a second node, too, finds ``node`` silent."""
     question = ProbeModel(node=node).model_dump_json().encode()
     url = f"http://{confirmer}{PROBE_PATH}"
-    body = await _request(client, "POST", url, MAX_DIGEST_BYTES, question)
+    # The second node waits as long as this one for the silent node's answer.
+    patient = replace(client, timeout_s=3 * client.timeout_s)
+    body = await _request(patient, "POST", url, MAX_DIGEST_BYTES, question)
     if isinstance(body, PeerFault):
         return False
     try:
--- a/testing/live/fleet.py
+++ b/testing/live/fleet.py
@@ -93,6 +93,7 @@
     log: subprocess.Popen[bytes] | None = None
     settings: str = ""
     node_settings: str = ""
+    log_settings: str = ""
     extra: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
     def __enter__(self) -> Fleet:
@@ -142,7 +143,7 @@
             f"peer_address = 127.0.0.1:{server.peer_port}\n"
             f"backend_address = 127.0.0.1:{server.backend_port}\n"
             f"{self.node_settings}"
-            f"[log]\naddress = 127.0.0.1:{self.log_port}\n"
+            f"[log]\naddress = 127.0.0.1:{self.log_port}\n{self.log_settings}"
             f"[peers]\nseeds = {seeds}\n{self.settings}"
         )
         server.node = self.start(
--- a/testing/live/test_control.py
+++ b/testing/live/test_control.py
@@ -1,13 +1,23 @@
 from __future__ import annotations
 
+import base64
+import json
+import signal
+import time
 from pathlib import Path
 
 from testing.live.fleet import Fleet
+from testing.live.fleet import free_port
 from testing.live.fleet import http
 from testing.live.fleet import ROOT
 from testing.live.fleet import Server
 from testing.live.fleet import wait_until
 
+from _masticspoke.border.records import decode_membership
+from _masticspoke.decisions.streams import MembersReplay
+from _masticspoke.decisions.streams import new_members_replay
+from _masticspoke.decisions.streams import read_members
+
 CATALOGUE = ROOT / "examples" / "kerala-south.ini"
 
 
@@ -67,3 +77,112 @@
         fleet.log_faults(down=False)
         wait_until(lambda: logged(tmp_path, "a", "E2102") == 1, 10, "log is back")
         assert logged(tmp_path, "a", "E2101") == 1
+
+
+def member_incarnation(server: Server, other: Server) -> str:
+    node = {"host": "127.0.0.1", "port": other.peer_port}
+    members = server.status()["members"]
+    found = [m["incarnation"] for m in members if m["node"] == node]  # type: ignore[attr-defined]
+    return found[0] if found else ""
+
+
+def test_paused_node_is_left_out_and_joins_again_as_a_new_incarnation(
+    tmp_path: Path,
+) -> None:
+    with Fleet(tmp_path) as fleet:
+        first = fleet.add("a", "inspect-desk", "kochi-a")
+        fleet.add("b", "batch-board", "kochi-b")
+        paused = fleet.add("c", "batch-board", "kochi-a")
+        fleet.apply(CATALOGUE)
+        fleet.wait_ready()
+        before = member_incarnation(first, paused)
+        assert paused.node is not None
+
+        paused.node.send_signal(signal.SIGSTOP)
+        wait_until(lambda: not member_incarnation(first, paused), 15, "left out")
+        paused.node.send_signal(signal.SIGCONT)
+
+        wait_until(
+            lambda: member_incarnation(first, paused) > before, 15, "joins again"
+        )
+        fleet.wait_ready()
+
+
+def test_catalogue_reaches_a_node_that_reaches_only_peers(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        fleet.add("a", "inspect-desk", "kochi-a")
+        fleet.add("b", "batch-board", "kochi-b")
+        log_port, fleet.log_port = fleet.log_port, free_port()
+        fleet.add("c", "tooling-desk", "kochi-a")
+        fleet.log_port = log_port
+        fleet.apply(CATALOGUE)
+        fleet.wait_ready(1, timeout_s=10)
+
+        versions: dict[str, list[int]] = {s.name: [] for s in fleet.servers}
+
+        def in_force_everywhere() -> bool:
+            for server in fleet.servers:
+                version = server.status()["catalogue_version"]
+                versions[server.name].append(version)  # type: ignore[arg-type]
+            return all(seen[-1] == 4 for seen in versions.values())
+
+        for _ in range(3):
+            fleet.apply(CATALOGUE)
+        wait_until(in_force_everywhere, 10, "version 4 in force, from peers too")
+        assert all(seen == sorted(seen) for seen in versions.values())
+
+
+def records(
+    fleet: Fleet, stream: str, start: int
+) -> tuple[int, list[tuple[int, bytes]]]:
+    url = f"http://127.0.0.1:{fleet.log_port}/read?stream={stream}&from={start}"
+    _, body = http("GET", url)
+    answer = json.loads(body)
+    found = [(r["offset"], base64.b64decode(r["data"])) for r in answer["records"]]
+    return answer["oldest"], found
+
+
+def read_members_stream(fleet: Fleet, replay: MembersReplay) -> MembersReplay:
+    oldest, found = records(fleet, "members", replay.read_through + 1)
+    values = [(offset, decode_membership(data)) for offset, data in found]
+    return read_members(replay, oldest, values).replay
+
+
+def test_lost_answers_a_capped_log_and_short_retention_lose_nothing(
+    tmp_path: Path,
+) -> None:
+    with Fleet(tmp_path, log_settings="snapshot_records = 6\n") as fleet:
+        fleet.log_faults(retained_records=40, lose_append_answers=3, appends_per_s=10)
+        fleet.add("a", "inspect-desk", "kochi-a")
+        fleet.add("b", "batch-board", "kochi-b")
+        fleet.add("c", "tooling-desk", "kochi-a")
+        fleet.apply(CATALOGUE)
+        fleet.wait_ready()
+        continuous = read_members_stream(fleet, new_members_replay())
+        restarted = fleet.servers[1]
+        url = f"http://127.0.0.1:{restarted.backend_port}/.masticspoke/backend"
+        number = 0
+        while records(fleet, "members", 0)[0] < 10:
+            number += 1
+            assert number < 200
+            body = {"service": "batch-board", "slots": number, "connections": 1}
+            body |= {"address": f"127.0.0.1:{restarted.own_port}", "ttl_ms": 60_000}
+            http("PUT", url, json.dumps(body).encode())
+            time.sleep(0.1)
+            continuous = read_members_stream(fleet, continuous)
+        fleet.log_faults(lose_append_answers=2)
+        for _ in range(2):
+            fleet.apply(CATALOGUE)
+        fleet.wait_ready(3)
+
+        def late_reader_agrees() -> bool:
+            late = read_members_stream(fleet, new_members_replay())
+            known = read_members_stream(fleet, continuous)
+            assert known.complete
+            return late.complete and late.state == known.state
+
+        wait_until(late_reader_agrees, 15, "a late reader finds the same views")
+        shown = fleet.command(
+            "catalogue", "show", "--log", f"127.0.0.1:{fleet.log_port}"
+        )
+        assert shown.stdout.startswith("# version 3,")
