--- a/src/_masticspoke/cli/log_access.py
+++ b/src/_masticspoke/cli/log_access.py
@@ -13,6 +13,8 @@
 from _masticspoke.decisions.history import History
 from _masticspoke.decisions.history import HistoryLine
 from _masticspoke.decisions.history import read_on
+from _masticspoke.decisions.history import settle
+from _masticspoke.decisions.history import Settled
 from _masticspoke.errors import ChangeConflictError
 from _masticspoke.errors import LogUnavailableError
 from _masticspoke.errors import OutcomeUnknownError
@@ -91,7 +93,7 @@
         perhaps_appended = perhaps_appended or fault is not LogFault.NOT_DONE
         if fault is LogFault.NOT_DONE:
             continue
-        line = await _settle(client, change, read_through)
+        line = await _settled_line(client, change, read_through)
         if line is not None:
             return line
     if perhaps_appended:
@@ -99,19 +101,17 @@
     raise LogUnavailableError(LogFault.NOT_DONE.value, _LOG_REMEDY)
 
 
-async def _settle(
+async def _settled_line(
     client: LogClient, change: Change, read_through: int
 ) -> HistoryLine | None:
     history = await read_history(client)
     if isinstance(history, LogFault):
         return None
-    line = find_change(history, change.change_id)
-    if line is not None and line.version is not None:
-        return line
-    version = history.state.catalogue.version
-    all_seen = history.replay.complete and history.oldest <= read_through + 1
-    if all_seen and version > change.made_from:
-        raise conflict(change.made_from, version)
+    settled = settle(history, change, read_through)
+    if settled is Settled.LOST:
+        raise conflict(change.made_from, history.state.catalogue.version)
+    if settled is Settled.ACCEPTED:
+        return find_change(history, change.change_id)
     return None
 
 
--- a/src/_masticspoke/decisions/history.py
+++ b/src/_masticspoke/decisions/history.py
@@ -6,16 +6,27 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from enum import Enum
 from typing import final
 
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.catalogue import Change
+from _masticspoke.decisions.catalogue import reduce_change
 from _masticspoke.decisions.replay import Snapshot
 from _masticspoke.decisions.streams import CatalogueReplay
 from _masticspoke.decisions.streams import new_catalogue_replay
 from _masticspoke.decisions.streams import read_catalogue
 
 
+@final
+class Settled(Enum):
+    """What became of a change; ``OPEN`` while a copy of it may still win."""
+
+    ACCEPTED = "accepted"
+    LOST = "lost"
+    OPEN = "open"
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class HistoryLine:
@@ -36,11 +47,12 @@
 class History:
     """The stream ``catalogue`` as a tool reads it.
 
-    :param oldest: oldest offset that the log retains.
+    :param known_from: first offset from which every change has its line; after a
+        gap, that behind the offset that the first snapshot stands for.
     """
 
     replay: CatalogueReplay = field(default_factory=new_catalogue_replay)
-    oldest: int = 0
+    known_from: int = 0
     lines: tuple[HistoryLine, ...] = ()
 
     @property
@@ -56,20 +68,44 @@
 ) -> History:
     """Return the history after one read.
 
-    Changes that were read before a gap was closed by a snapshot are left out.
-
     :param oldest: oldest offset that the log retains.
     """
     replay, _ = read_catalogue(history.replay, oldest, ())
-    lines = list(history.lines)
+    history = replace(history, replay=replay)
     for offset, value in records:
-        before = replay.state
-        replay, _ = read_catalogue(replay, oldest, ((offset, value),))
-        if isinstance(value, Change) and replay.complete:
-            won = replay.state is not before
-            version = replay.state.catalogue.version if won else None
-            lines.append(_line(offset, value, version))
-    return replace(history, replay=replay, oldest=oldest, lines=tuple(lines))
+        history = _read_one(history, oldest, offset, value)
+    return history
+
+
+def _read_one(
+    history: History,
+    oldest: int,
+    offset: int,
+    value: Change | Snapshot[CatalogueState] | None,
+) -> History:
+    before = history.replay
+    replay, _ = read_catalogue(before, oldest, ((offset, value),))
+    history = replace(history, replay=replay)
+    if isinstance(value, Snapshot) and replay.complete and not before.complete:
+        behind = [(o, held) for o, held in before.held if o > value.offset]
+        lines = _lines(value.state, behind)
+        return replace(history, known_from=value.offset + 1, lines=lines)
+    if isinstance(value, Change) and replay.complete:
+        lines = (*history.lines, *_lines(before.state, ((offset, value),)))
+        return replace(history, lines=lines)
+    return history
+
+
+def _lines(
+    state: CatalogueState, changes: Iterable[tuple[int, Change]]
+) -> tuple[HistoryLine, ...]:
+    lines = []
+    for offset, change in changes:
+        after = reduce_change(state, change, offset)
+        version = None if after is state else after.catalogue.version
+        lines.append(_line(offset, change, version))
+        state = after
+    return tuple(lines)
 
 
 def find_change(history: History, change_id: str) -> HistoryLine | None:
@@ -85,6 +121,21 @@
     return HistoryLine(state.offset, change_id, state.author, version - 1, version)
 
 
+def settle(history: History, change: Change, read_through: int) -> Settled:
+    """Return what the log says about a change that may have been appended.
+
+    :param history: read after the append.
+    :param read_through: offset up to which the log had been read before it.
+    """
+    line = find_change(history, change.change_id)
+    if line is not None and line.version is not None:
+        return Settled.ACCEPTED
+    all_seen = history.replay.complete and history.known_from <= read_through + 1
+    if all_seen and history.state.catalogue.version > change.made_from:
+        return Settled.LOST
+    return Settled.OPEN
+
+
 def _line(offset: int, change: Change, version: int | None) -> HistoryLine:
     return HistoryLine(
         offset, change.change_id, change.author, change.made_from, version
