Tell the log about many silent members in one batch by one node

Cause: each watcher appended the end of each silent member: a zone of 1,500 lost at once meant up to 3,000 appends within seconds; the bound is 100 a second. Ruled out: a random delay for each watcher (3,000 appends remain, only later). Change: up to 8 missing ends are told by their watchers at once; more are left to one node at a time, in turns of 5 s, as one batch; nothing is queued for a log that does not answer. Hints of ended members are bounded at 4,000, for a zone must fit. The keeper's own doings move to control/upkeep.py. Proof: testing/decisions/test_silence.py: 1,500 of 1,800 members silent, one batch within 5.5 s of virtual time; it failed first, on the bound of 1,000 hints.

--- a/src/_masticspoke/border/records.py
+++ b/src/_masticspoke/border/records.py
@@ -119,6 +119,13 @@
     return _ENCODERS[type(value)](value).model_dump_json().encode()
 
 
+def encode_snapshot(offset: int, state: CatalogueState | MembersState) -> bytes:
+    """Return the log record of a snapshot."""
+    if isinstance(state, CatalogueState):
+        return encode_record(Snapshot(offset, state))
+    return encode_record(Snapshot(offset, state))
+
+
 def decode_record(data: bytes) -> RecordValue | None:
     """Return the value of a log record; ``None`` if it is unknown or malformed."""
     try:
--- a/src/_masticspoke/control/keeper.py
+++ b/src/_masticspoke/control/keeper.py
@@ -18,14 +18,18 @@
 from _masticspoke.control.knowledge import KeeperState
 from _masticspoke.control.knowledge import mark_ready
 from _masticspoke.control.knowledge import republish
+from _masticspoke.control.upkeep import append
+from _masticspoke.control.upkeep import leave
+from _masticspoke.control.upkeep import missing_ends
+from _masticspoke.control.upkeep import upkeep
 from _masticspoke.decisions import own_backend
+from _masticspoke.decisions import silence
 from _masticspoke.decisions import snapshots
 from _masticspoke.decisions.catalogue import newest
 from _masticspoke.decisions.hints import Hint
 from _masticspoke.decisions.hints import take_news
 from _masticspoke.decisions.log_health import note
 from _masticspoke.decisions.log_health import Turn
-from _masticspoke.decisions.members import Left
 from _masticspoke.decisions.own_backend import refuse_announcement
 from _masticspoke.decisions.replay import Snapshot
 from _masticspoke.decisions.streams import read_catalogue
@@ -33,7 +37,6 @@
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
 from _masticspoke.messages import Announce
-from _masticspoke.messages import AppendRecord
 from _masticspoke.messages import AskDigest
 from _masticspoke.messages import AskKnowledge
 from _masticspoke.messages import AskPosition
@@ -85,7 +88,9 @@
     """Return the body of the keeper's task."""
 
     async def run(life: Lifecycle) -> None:
-        await serve(inbox, state, _HANDLERS, clock, life, tick_s=_TICK_S, on_tick=_tick)
+        await serve(
+            inbox, state, _HANDLERS, clock, life, tick_s=_TICK_S, on_tick=upkeep
+        )
 
     return run
 
@@ -177,23 +182,12 @@
 
 
 def _leaving(state: KeeperState, message: BackendLeaving, now: float) -> None:
-    _leave(state, Event.BACKEND_LEAVING)
-
-
-def _leave(state: KeeperState, event: Event) -> None:
-    member = state.own.member
-    if member is None:
-        return
-    state.own = own_backend.leave(state.own)
-    log_event(event, service=member.service, address=member.backend)
-    # The router first: it then sends the gate nothing that would be refused.
-    apply_hints(state, (own_backend.own_hint(state.own),))
-    state.publish(BackendLeaving())
+    leave(state, Event.BACKEND_LEAVING)
 
 
 def _node_stopping(state: KeeperState, message: NodeStopping, now: float) -> None:
     state.stopping = True
-    _leave(state, Event.BACKEND_LEAVING)
+    leave(state, Event.BACKEND_LEAVING)
 
 
 def _peer_news(state: KeeperState, message: PeerNews, now: float) -> None:
@@ -215,11 +209,14 @@
 
 def _member_silent(state: KeeperState, message: MemberSilent, now: float) -> None:
     apply_hints(state, (Hint(message.node, message.incarnation),))
-    known = state.members_log.state.by_node.get(message.node)
-    if known is None or known.incarnation != message.incarnation:
+    missing = missing_ends(state)
+    own = [left for left in missing if left.node == message.node]
+    if not own:
         return
-    log_event(Event.MEMBER_SILENT, node=message.node, service=known.service)
-    _append(state, MEMBERS_STREAM, encode_record(Left(known.node, known.incarnation)))
+    log_event(Event.MEMBER_SILENT, node=message.node)
+    # When many are silent at once, one node tells the log about all of them.
+    if len(missing) <= silence.FEW and state.log.available:
+        append(state, MEMBERS_STREAM, encode_record(own[0]))
 
 
 def _ask_digest(state: KeeperState, message: AskDigest, now: float) -> None:
@@ -244,44 +241,6 @@
     )
 
 
-def _tick(state: KeeperState, now: float) -> None:
-    if own_backend.has_lapsed(state.own, now):
-        _leave(state, Event.BACKEND_LAPSED)
-    if state.members_log.complete:
-        state.own, record = own_backend.next_record(
-            state.own, state.members_log.state, now
-        )
-        if record is not None:
-            _append(state, MEMBERS_STREAM, encode_record(record))
-    _append_snapshots(state, now)
-
-
-def _append_snapshots(state: KeeperState, now: float) -> None:
-    nodes = [m.node for m in state.routing]
-    catalogue = state.catalogue_log
-    state.catalogue_snapshot = snapshots.tick(
-        state.catalogue_snapshot, catalogue.read_through, state.policy, now
-    )
-    if snapshots.is_our_turn(state.catalogue_snapshot, state.own.node, nodes, now):
-        if catalogue.complete:
-            record = Snapshot(catalogue.read_through, catalogue.state)
-            _append(state, CATALOGUE_STREAM, encode_record(record))
-        state.catalogue_snapshot = snapshots.waited(state.catalogue_snapshot, now)
-    members = state.members_log
-    state.members_snapshot = snapshots.tick(
-        state.members_snapshot, members.read_through, state.policy, now
-    )
-    if snapshots.is_our_turn(state.members_snapshot, state.own.node, nodes, now):
-        if members.complete:
-            encoded = encode_record(Snapshot(members.read_through, members.state))
-            _append(state, MEMBERS_STREAM, encoded)
-        state.members_snapshot = snapshots.waited(state.members_snapshot, now)
-
-
-def _append(state: KeeperState, stream: str, record: bytes) -> None:
-    state.writer.tell(AppendRecord(stream, record))
-
-
 def _resend(state: KeeperState, message: Resend, now: float) -> None:
     republish(state, now)
 
--- a/src/_masticspoke/control/knowledge.py
+++ b/src/_masticspoke/control/knowledge.py
@@ -18,6 +18,7 @@
 from _masticspoke.decisions.own_backend import contradicted
 from _masticspoke.decisions.own_backend import own_hint
 from _masticspoke.decisions.own_backend import OwnBackend
+from _masticspoke.decisions.silence import SilenceClock
 from _masticspoke.decisions.snapshots import SnapshotClock
 from _masticspoke.decisions.snapshots import SnapshotPolicy
 from _masticspoke.decisions.streams import CatalogueReplay
@@ -72,6 +73,7 @@
     members_log: MembersReplay = field(default_factory=new_members_replay)
     catalogue_snapshot: SnapshotClock = field(default_factory=SnapshotClock)
     members_snapshot: SnapshotClock = field(default_factory=SnapshotClock)
+    silence: SilenceClock = field(default_factory=SilenceClock)
     catalogue: CatalogueState = field(default_factory=CatalogueState)
     ready: bool = False
     members_read: bool = False
--- a/src/_masticspoke/decisions/hints.py
+++ b/src/_masticspoke/decisions/hints.py
@@ -16,7 +16,7 @@
 from _masticspoke.model import Address
 from _masticspoke.model import Member
 
-MAX_ENDED_HINTS = 1_000
+MAX_ENDED_HINTS = 4_000
 MAX_NEWS = 8
 TELLINGS = 12
 
--- a/src/_masticspoke/decisions/snapshots.py
+++ b/src/_masticspoke/decisions/snapshots.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import math
-import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import final
 
+from _masticspoke.decisions.turns import has_turn
+from _masticspoke.decisions.turns import TURN_S
 from _masticspoke.model import Address
 
-TURN_S = 5.0
-
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -67,16 +65,11 @@
 ) -> bool:
     """Return whether this node appends the snapshot that is due.
 
-    The nodes take turns in an order that all of them compute alike; each one gets
-    :data:`TURN_S`. Two snapshots of the same stream are harmless.
+    Two snapshots of the same stream are harmless.
     """
     if clock.due_since is None:
         return False
-    order = sorted(
-        {own, *nodes}, key=lambda n: zlib.crc32(f"{clock.offset} {n}".encode())
-    )
-    turn = math.floor((now - clock.due_since) / TURN_S)
-    return turn >= order.index(own)
+    return has_turn(own, nodes, clock.due_since, clock.offset, now)
 
 
 def waited(clock: SnapshotClock, now: float) -> SnapshotClock:
--- a/src/_masticspoke/decisions/streams.py
+++ b/src/_masticspoke/decisions/streams.py
@@ -97,9 +97,10 @@
         for node, member in after.by_node.items()
         if before.by_node.get(node) is not member
     )
-    ended = tuple(
-        Hint(node, incarnation)
-        for node, incarnation in after.ended.items()
-        if before.ended.get(node) != incarnation
-    )
-    return taken + ended
+    ended = {
+        node: member.incarnation
+        for node, member in before.by_node.items()
+        if node not in after.by_node
+    }
+    ended |= {n: i for n, i in after.ended.items() if before.ended.get(n) != i}
+    return taken + tuple(Hint(node, incarnation) for node, incarnation in ended.items())
--- a/testing/decisions/test_log_keeping.py
+++ b/testing/decisions/test_log_keeping.py
@@ -14,8 +14,8 @@
 from _masticspoke.decisions.snapshots import SnapshotClock
 from _masticspoke.decisions.snapshots import SnapshotPolicy
 from _masticspoke.decisions.snapshots import tick
-from _masticspoke.decisions.snapshots import TURN_S
 from _masticspoke.decisions.snapshots import waited
+from _masticspoke.decisions.turns import TURN_S
 from _masticspoke.model import Address
 
 NODES = [Address("127.0.0.1", n) for n in range(1, 6)]
--- /dev/null
+++ b/testing/decisions/test_silence.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.hints import HintsState
+from _masticspoke.decisions.hints import joined
+from _masticspoke.decisions.hints import merge
+from _masticspoke.decisions.members import Joined
+from _masticspoke.decisions.members import Left
+from _masticspoke.decisions.members import MembersState
+from _masticspoke.decisions.members import reduce_membership
+from _masticspoke.decisions.silence import missing_ends
+from _masticspoke.decisions.silence import SilenceClock
+from _masticspoke.decisions.silence import take_turn
+from _masticspoke.decisions.turns import TURN_S
+from _masticspoke.model import Address
+from _masticspoke.model import Member
+
+ZONE = 1_500
+SURVIVORS = 300
+
+
+def member(number: int) -> Member:
+    node = Address("10.0.0.1", 1 + number)
+    return Member("planovac", node, node, "sk-central-a", f"{number:012x}-a-0000", 1, 1)
+
+
+def test_loss_of_a_zone_is_told_by_one_node_in_one_batch() -> None:
+    members = MembersState()
+    hints = HintsState()
+    everyone = [member(n) for n in range(ZONE + SURVIVORS)]
+    for offset, each in enumerate(everyone):
+        members = reduce_membership(members, Joined(each), offset)
+    hints = merge(hints, [joined(m) for m in everyone])
+    hints = merge(hints, [Hint(m.node, m.incarnation) for m in everyone[:ZONE]])
+    survivors = tuple(m.node for m in everyone[ZONE:])
+    missing = missing_ends(members, hints, survivors[0])
+    assert len(missing) == ZONE
+
+    clocks = dict.fromkeys(survivors, SilenceClock())
+    batches: list[tuple[Left, ...]] = []
+    now = 0.0
+    while not batches:
+        for own in survivors:
+            clocks[own], records = take_turn(clocks[own], missing, own, survivors, now)
+            batches += [records] if records else []
+        now += 0.25
+
+    assert batches == [missing]
+    assert now <= TURN_S + 0.5
+
+
+def test_end_of_an_older_incarnation_or_of_oneself_is_not_told() -> None:
+    one = member(1)
+    members = reduce_membership(MembersState(), Joined(one), 0)
+    older = merge(HintsState(), [Hint(one.node, "000000000000-a-0000")])
+    same = merge(HintsState(), [Hint(one.node, one.incarnation)])
+
+    assert missing_ends(members, older, member(2).node) == ()
+    assert missing_ends(members, same, one.node) == ()
+    assert missing_ends(members, same, member(2).node) == (
+        Left(one.node, one.incarnation),
+    )
