Find requests that crash backend servers, and stop the library's own re-sends

Cause: nothing told one guard what crashed another one's backend server; a caller that sent such a request again and again took down one after the other.

Found on the way: the HTTP client sent GET, PUT and DELETE a second time by itself when a kept connection broke. The second send met a refused connection, so that the guard answered backend-unreachable with ran=no for a request that had run. It is switched off; idle connections are kept for less time than servers keep them.

Ruled out: draining a backend server to run a suspect alone (a ten-minute download would stop everything; one suspect at a time names the culprit as well); marking only the request that broke (the others' connections break first as often).

Change: guard/suspects.py owns what is in flight; at a crash all of it is suspect, the other guards of the service are told before the answer goes out, and a retry carries its own count. Suspects take turns, one success clears, a second crash quarantines for ten minutes. Nothing is asked while nobody is suspected: the task tells a set that request tasks read.

Conclusion: holds for guards that can be reached; one that is cut off learns only by the count in the call.

--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -31,6 +31,8 @@
 
 ACCOUNT = web.RequestKey("account", RequestAccount)
 _ONE_WRITE_BYTES = 65_536
+# Below the idle time-outs usual in servers, which are 5 s and more.
+_KEEP_IDLE_S = 4.0
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -89,13 +91,17 @@
     async def open(self, connect_timeout_s: float) -> None:
         """Open the session."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+            connector=aiohttp.TCPConnector(
+                limit=0, use_dns_cache=False, keepalive_timeout=_KEEP_IDLE_S
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_SKIPPED,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
             read_bufsize=_ONE_WRITE_BYTES,
         )
+        # The library's own second send runs a request twice unseen (issue 4).
+        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -22,19 +22,28 @@
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.runs import RunsMessage
+from _masticspoke.guard.suspects import SuspectsMessage
 from _masticspoke.messages import Admit
 from _masticspoke.messages import Admitted
+from _masticspoke.messages import AskTurn
+from _masticspoke.messages import EndTurn
 from _masticspoke.messages import Finished
 from _masticspoke.messages import NotAdmitted
+from _masticspoke.messages import RequestBroken
+from _masticspoke.messages import RequestEnded
+from _masticspoke.messages import RequestSent
+from _masticspoke.messages import RunEnd
 from _masticspoke.messages import RunEnded
 from _masticspoke.messages import RunStarted
 from _masticspoke.messages import Settle
 from _masticspoke.messages import Withdrawn
+from _masticspoke.model import Address
 from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
@@ -44,14 +53,21 @@
     [aiohttp.ClientResponse, LoadReport], Awaitable[web.StreamResponse]
 ]
 
+_PROBE_TIMEOUT_S = 0.2
+
 
 @final
 @dataclass(frozen=True, slots=True)
 class GuardPort:
-    """What a request's task needs in order to run a call at the guard."""
+    """What a request's task needs in order to run a call at the guard.
+
+    :param watched: fingerprints of requests that have to ask for their turn.
+    """
 
     gate: Mailbox[GateMessage]
     runs: Mailbox[RunsMessage]
+    suspects: Mailbox[SuspectsMessage]
+    watched: Latest[frozenset[int]]
     connections: Connections
     clock: Clock
 
@@ -64,8 +80,36 @@
     What comes back without an answer says how much of the allowance is left.
     """
     request.account.attempt(call)
+    number = fingerprint(request)
+    if call.crashes == 0 and number not in port.watched.value:
+        return await _admit_and_run(port, call, number, request, deliver)
+    turn: Reply[Refusal | None] = Reply()
+    try:
+        refusal = await _turn(port, call, number, turn)
+        if refusal is not None:
+            return _unused(NotAdmitted(refusal, LoadReport()), call)
+        return await _admit_and_run(port, call, number, request, deliver)
+    finally:
+        port.suspects.tell(EndTurn(turn))
+
+
+async def _turn(
+    port: GuardPort, call: Call, number: int, turn: Reply[Refusal | None]
+) -> Refusal | None:
+    if port.suspects.tell(AskTurn(number, call.crashes, turn)) is Delivery.FULL:
+        return Refusal(Reason.BUSY)
+    try:
+        async with asyncio.timeout(call.deadline - port.clock()):
+            return await turn.value()
+    except TimeoutError:
+        return Refusal(Reason.DEADLINE_PASSED, detail="waited for its turn")
+
+
+async def _admit_and_run(
+    port: GuardPort, call: Call, number: int, request: Outgoing, deliver: DeliverRun
+) -> web.StreamResponse | NotAdmitted:
     reply: Reply[Admitted | NotAdmitted] = Reply()
-    question = Admit(call, fingerprint(request), reply)
+    question = Admit(call, number, reply)
     if port.gate.tell(question) is Delivery.FULL:
         return _unused(NotAdmitted(Refusal(Reason.BUSY), LoadReport()), call)
     try:
@@ -75,6 +119,7 @@
         raise
     if isinstance(answer, NotAdmitted):
         return _unused(answer, call)
+    port.suspects.tell(RequestSent(answer.trace, number))
     return await _run(port, call, answer, request, deliver)
 
 
@@ -102,12 +147,12 @@
 ) -> web.StreamResponse | NotAdmitted:
     started = port.clock()
     request.account.wait_began(started)
-    crashed = False
+    end = RunEnd.LEFT
     port.runs.tell(RunStarted(admitted.trace, call))
     try:
         async with asyncio.timeout(call.deadline - started):
             answer = await _exchange(port, call, admitted, request, deliver)
-            crashed = isinstance(answer, NotAdmitted)
+            end = _end_of(answer)
             return answer
     except TimeoutError:
         refusal = Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN)
@@ -116,6 +161,8 @@
         port.runs.tell(RunEnded(admitted.trace))
         ended = port.clock()
         request.account.wait_ended(ended)
+        port.suspects.tell(RequestEnded(admitted.trace, end))
+        crashed = end is RunEnd.NOT_RUN
         port.gate.tell(Finished(admitted.ticket, ended - started, crashed))
 
 
@@ -144,9 +191,32 @@
         refusal = Refusal(Reason.BACKEND_UNREACHABLE, Ran.NO, detail=str(error))
     except (aiohttp.ClientError, ConnectionError) as error:
         refusal = Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
+        await _report_broken(port, admitted)
     return await _settled(port, call, admitted, refusal)
 
 
+def _end_of(answer: web.StreamResponse | NotAdmitted) -> RunEnd:
+    return RunEnd.NOT_RUN if isinstance(answer, NotAdmitted) else RunEnd.ANSWERED
+
+
+async def _report_broken(port: GuardPort, admitted: Admitted) -> None:
+    """Have the other guards told, before the caller can send it again."""
+    down = not await _accepts_connections(admitted.backend)
+    question = RequestBroken(admitted.trace, down, Reply())
+    if port.suspects.tell(question) is Delivery.ACCEPTED:
+        await question.reply.value()
+
+
+async def _accepts_connections(backend: Address) -> bool:
+    try:
+        async with asyncio.timeout(_PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(backend.host, backend.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 def _headers(
     port: GuardPort, call: Call, admitted: Admitted, request: Outgoing
 ) -> CIMultiDict[str]:
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -14,6 +14,7 @@
 import aiomisc
 
 from _masticspoke.border.paths import METRICS_PATH
+from _masticspoke.border.paths import SUSPECTS_PATH
 from _masticspoke.border.records import CATALOGUE_STREAM
 from _masticspoke.border.records import MEMBERS_STREAM
 from _masticspoke.border.settings import Settings
@@ -43,6 +44,7 @@
 from _masticspoke.entry.listener import Opening
 from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.entry.peers import peer_handler
+from _masticspoke.entry.suspects import suspects_handler
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
 from _masticspoke.exchange import Connections
@@ -51,6 +53,10 @@
 from _masticspoke.guard.run import GuardPort
 from _masticspoke.guard.runs import runs
 from _masticspoke.guard.runs import RunsMessage
+from _masticspoke.guard.suspect_sender import SenderMessage
+from _masticspoke.guard.suspect_sender import suspect_sender
+from _masticspoke.guard.suspects import suspects
+from _masticspoke.guard.suspects import SuspectsMessage
 from _masticspoke.messages import AskReady
 from _masticspoke.messages import BackendAnnounced
 from _masticspoke.messages import BackendLeaving
@@ -65,6 +71,7 @@
 from _masticspoke.metrics.recorder import RecorderMessage
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask
+from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
@@ -90,6 +97,9 @@
     router: Mailbox[RouterMessage]
     gate: Mailbox[GateMessage]
     runs: Mailbox[RunsMessage]
+    suspects: Mailbox[SuspectsMessage]
+    suspect_sender: Mailbox[SenderMessage]
+    watched: Latest[frozenset[int]]
     keeper: Mailbox[KeeperMessage]
     writer: Mailbox[WriterMessage]
     recorder: Mailbox[RecorderMessage]
@@ -135,6 +145,9 @@
         router=Mailbox(capacity),
         gate=Mailbox(capacity),
         runs=Mailbox(capacity),
+        suspects=Mailbox(capacity),
+        suspect_sender=Mailbox(capacity),
+        watched=Latest(frozenset()),
         keeper=Mailbox(capacity),
         writer=Mailbox(capacity),
         recorder=Mailbox(capacity),
@@ -151,6 +164,7 @@
         "router": parts.router,
         "gate": parts.gate,
         "runs": parts.runs,
+        "suspects": parts.suspects,
         "keeper": parts.keeper,
         "writer": parts.writer,
         "recorder": parts.recorder,
@@ -170,6 +184,9 @@
             parts.router.tell(message)
         if isinstance(message, MembersChanged):
             parts.gossip.tell(message)
+            parts.suspects.tell(message)
+        if isinstance(message, BackendAnnounced):
+            parts.suspects.tell(message)
         if isinstance(message, CatalogueChanged | BackendAnnounced | BackendLeaving):
             parts.gate.tell(message)
         if isinstance(message, CatalogueChanged | LogHealth):
@@ -246,8 +263,18 @@
     limits = parts.settings.limits
     connect_s = limits.connect_timeout_ms / 1000
     admit = gate(parts.gate, time.monotonic, limits.queue_calls)
+    suspect = suspects(
+        parts.suspects,
+        parts.suspect_sender,
+        parts.watched,
+        parts.settings.node.peer_address,
+        time.monotonic,
+    )
+    sender = suspect_sender(parts.suspect_sender, parts.to_peers, connect_s)
     children = (
         ChildSpec("connections", connection_owner(parts.to_backend, connect_s), 1.0),
+        ChildSpec("suspect_sender", sender),
+        ChildSpec("suspects", _informed(parts, suspect)),
         ChildSpec("runs", runs(parts.runs, time.monotonic)),
         ChildSpec("gate", _informed(parts, admit)),
     )
@@ -267,7 +294,14 @@
 def _entry(parts: _Parts) -> ChildBody:
     node = parts.settings.node
     buffer_bytes = parts.settings.limits.body_buffer_bytes
-    guard_port = GuardPort(parts.gate, parts.runs, parts.to_backend, time.monotonic)
+    guard_port = GuardPort(
+        parts.gate,
+        parts.runs,
+        parts.suspects,
+        parts.watched,
+        parts.to_backend,
+        time.monotonic,
+    )
     port = DispatchPort(
         parts.router, parts.to_nodes, guard_port, time.monotonic, buffer_bytes
     )
@@ -303,6 +337,7 @@
     return {
         **control_handlers(parts.keeper, parts.gossip, _peer_client(parts)),
         ("GET", METRICS_PATH): metrics_handler(parts.recorder),
+        ("POST", SUSPECTS_PATH): suspects_handler(parts.suspects),
     }
 
 
