--- a/src/_masticspoke/border/headers.py
+++ b/src/_masticspoke/border/headers.py
@@ -11,6 +11,7 @@
 from pydantic import ValidationError
 
 from _masticspoke.border.fields import BorderModel
+from _masticspoke.decisions.resumption import AnswerHead
 from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
 from _masticspoke.model import RequestShape
@@ -227,6 +228,18 @@
     )
 
 
+def answer_head(status: int, headers: Mapping[str, str]) -> AnswerHead:
+    """Return what an answer's head tells about its body."""
+    length = headers.get("Content-Length", "")
+    return AnswerHead(
+        status=status,
+        etag=headers.get("ETag", ""),
+        ranges=headers.get("Accept-Ranges", "").strip().lower() == "bytes",
+        length=int(length) if length.isascii() and length.isdigit() else None,
+        content_range=headers.get("Content-Range", ""),
+    )
+
+
 def shed_by_backend(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether a backend server says that it did not run a request."""
     return status == 503 and headers.get(RAN_HEADER) == "no"
--- a/src/_masticspoke/dispatch/attempt.py
+++ b/src/_masticspoke/dispatch/attempt.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import final
@@ -18,7 +20,7 @@
 from _masticspoke.border.headers import REFUSED_HEADER
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.problem import decode_problem
-from _masticspoke.exchange import relay
+from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.guard.run import run_call
 from _masticspoke.messages import AttemptEnded
 from _masticspoke.messages import NotAdmitted
@@ -27,6 +29,7 @@
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
+from _masticspoke.relay import Cut
 
 if TYPE_CHECKING:
     from _masticspoke.dispatch.conduct import Conduct
@@ -55,6 +58,10 @@
         return self.report.allowance_left if self.report else 0
 
 
+Result = web.StreamResponse | Cut | Failed
+Deliver = Callable[[aiohttp.ClientResponse], Awaitable[web.StreamResponse | Cut]]
+
+
 @final
 @dataclass(slots=True)
 class _Answered:
@@ -65,60 +72,83 @@
 
 
 async def attempt(
-    port: DispatchPort, held: Conduct, target: Target
-) -> web.StreamResponse | Failed:
-    """Return the relayed answer of one attempt, or why there is none."""
+    port: DispatchPort, held: Conduct, target: Target, deliver: Deliver
+) -> Result:
+    """Return the relayed answer of one attempt, or why there is none.
+
+    :param deliver: passes the answer on.
+    """
     if target.wait_s > 0:
         await asyncio.sleep(target.wait_s)
+    held.unused = target.attempt.progress.kept
     started = port.clock()
     answered = _Answered()
-    failed: Failed | None = None
+    result: Result | None = None
     try:
-        result = await _in_time(port, held, target, answered)
-        if isinstance(result, Failed):
-            failed = result
-            return replace(result, waited_s=port.clock() - started)
-        return result
+        result = await _in_time(port, held, target, deliver, answered)
     finally:
-        if failed is None:
+        if not _needs_another(result):
             ended_at = answered.at or port.clock()
             ended = AttemptEnded(
                 target, answered.report, answered.at, ended_at - started
             )
             port.router.tell(ended)
+    if isinstance(result, Failed):
+        return replace(result, waited_s=port.clock() - started)
+    return result
+
+
+def _needs_another(result: Result | None) -> bool:
+    if isinstance(result, Cut):
+        return not result.by_caller
+    return isinstance(result, Failed)
 
 
 async def _in_time(
-    port: DispatchPort, held: Conduct, target: Target, answered: _Answered
-) -> web.StreamResponse | Failed:
+    port: DispatchPort,
+    held: Conduct,
+    target: Target,
+    deliver: Deliver,
+    answered: _Answered,
+) -> Result:
     grace_s = 0.0 if target.own else REFUSAL_GRACE_S
     try:
         async with asyncio.timeout(target.call.deadline - port.clock() + grace_s):
             if target.own:
-                return await _run_here(port, held, target, answered)
-            return await _send_to_node(port, held, target, answered)
+                return await _run_here(port, held, target, deliver, answered)
+            return await _send_to_node(port, held, target, deliver, answered)
     except TimeoutError:
+        if held.relayed.response is not None:
+            return Cut(held.relayed.response, by_caller=True)
         return Failed(Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN))
 
 
 async def _run_here(
-    port: DispatchPort, held: Conduct, target: Target, answered: _Answered
-) -> web.StreamResponse | Failed:
-    async def deliver(
+    port: DispatchPort,
+    held: Conduct,
+    target: Target,
+    deliver: Deliver,
+    answered: _Answered,
+) -> Result:
+    async def deliver_run(
         upstream: aiohttp.ClientResponse, report: LoadReport
-    ) -> web.StreamResponse:
+    ) -> web.StreamResponse | Cut:
         _note_answer(port, held, answered, report)
-        return await relay(held.request, upstream, {})
+        return await deliver(upstream)
 
-    result = await run_call(port.guard, target.call, held.sent, deliver)
+    result = await run_call(port.guard, target.call, held.sent, deliver_run)
     if isinstance(result, NotAdmitted):
         return Failed(result.refusal, result.report)
     return result
 
 
 async def _send_to_node(
-    port: DispatchPort, held: Conduct, target: Target, answered: _Answered
-) -> web.StreamResponse | Failed:
+    port: DispatchPort,
+    held: Conduct,
+    target: Target,
+    deliver: Deliver,
+    answered: _Answered,
+) -> Result:
     headers = CIMultiDict(held.sent.headers)
     headers[CALL_HEADER] = encode_call(target.call, port.clock())
     account = held.sent.account
@@ -137,8 +167,8 @@
             if REFUSED_HEADER in upstream.headers:
                 return await _refused(upstream, report)
             _note_answer(port, held, answered, report)
-            return await relay(held.request, upstream, {})
-    except aiohttp.ClientConnectorError as error:
+            return await deliver(upstream)
+    except NOT_CONNECTED as error:
         return _failed(Reason.NODE_UNREACHABLE, Ran.NO, error)
     except (aiohttp.ClientError, ConnectionError) as error:
         return _failed(Reason.NODE_FAILED, Ran.UNKNOWN, error)
--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -10,12 +10,15 @@
 from dataclasses import field
 from typing import final
 
+import aiohttp
 from aiohttp import web
 
 from _masticspoke.decisions.handling import Handling
 from _masticspoke.decisions.handling import handling
+from _masticspoke.decisions.retry import truthful
 from _masticspoke.dispatch.attempt import attempt
 from _masticspoke.dispatch.attempt import Failed
+from _masticspoke.dispatch.resume import finish
 from _masticspoke.dispatch.router import RouterMessage
 from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
@@ -31,6 +34,9 @@
 from _masticspoke.model import RequestShape
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
+from _masticspoke.relay import Cut
+from _masticspoke.relay import relay
+from _masticspoke.relay import Relayed
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
@@ -45,12 +51,14 @@
     """One request on its way.
 
     :param loan: from the running call that sent it, if one did.
+    :param relayed: the answer, as far as it was passed on.
     :param sent: the request as it is passed on.
     :param unused: retries that are certainly not used, nor lent.
     """
 
     request: web.BaseRequest
     loan: Loan | None
+    relayed: Relayed
     sent: Outgoing
     unused: int = 0
 
@@ -82,13 +90,19 @@
     loan: Loan | None,
 ) -> Answer:
     """Return the answer to a request, already relayed, or why there is none."""
-    first = await _ask(port, Begin(shape, loan, Reply()))
+    first = await _ask(port, Begin(shape, loan, Reply()), Refusal(Reason.BUSY))
     if isinstance(first, Refusal):
         if loan is not None:
             port.guard.runs.tell(GiveBack(loan, loan.amount, refused=True))
         return first
     answer: Answer | None = None
-    held = Conduct(request, loan, Outgoing.empty(), first.attempt.progress.kept)
+    held = Conduct(
+        request,
+        loan,
+        Relayed(request),
+        Outgoing.empty(),
+        first.attempt.progress.kept,
+    )
     try:
         answer = await _serve(port, held, first)
         return answer
@@ -110,19 +124,31 @@
 async def attempts(port: DispatchPort, held: Conduct, first: Target) -> Answer:
     """Send the request until it is answered or the router ends it."""
     step: Target | Refusal = first
+
+    async def deliver(upstream: aiohttp.ClientResponse) -> web.StreamResponse | Cut:
+        return await relay(held.relayed, upstream, {})
+
+    async def ask(target: Target, failed: Failed, resendable: bool) -> Target | Refusal:
+        return await _after_failure(port, held, target, failed, resendable)
+
     while isinstance(step, Target):
-        held.unused = step.attempt.progress.kept
-        result = await attempt(port, held, step)
+        result = await attempt(port, held, step, deliver)
         if isinstance(result, web.StreamResponse):
             return result
-        step = await _after_failure(port, held, step, result)
+        if isinstance(result, Cut):
+            return await finish(port, held, step, result, ask)
+        step = await ask(step, result, held.sent.resendable)
     return step
 
 
 async def _after_failure(
-    port: DispatchPort, held: Conduct, target: Target, failed: Failed
+    port: DispatchPort,
+    held: Conduct,
+    target: Target,
+    failed: Failed,
+    resendable: bool,
 ) -> Target | Refusal:
-    held.unused = target.attempt.progress.kept + failed.returned
+    held.unused = max(held.unused, target.attempt.progress.kept + failed.returned)
     if held.unused == 0 and held.loan is not None:
         held.unused = await _borrow(port, held.loan)
     question = AttemptFailed(
@@ -131,26 +157,29 @@
         report=failed.report,
         returned=held.unused - target.attempt.progress.kept,
         waited_s=failed.waited_s,
-        resendable=held.sent.resendable,
+        resendable=resendable,
         reply=Reply(),
     )
-    step = await _ask(port, question)
+    ended = truthful(failed.refusal, target.attempt.progress)
+    step = await _ask(port, question, ended)
     if isinstance(step, Target):
         held.sent.account.retried.append(failed.refusal.reason)
     return step
 
 
-async def _give_up(port: DispatchPort, target: Target, failed: Failed) -> Refusal:
+async def _give_up(port: DispatchPort, target: Target, failed: Failed) -> Answer:
     question = AttemptFailed(
         target, failed.refusal, None, 0, 0.0, resendable=False, reply=Reply()
     )
-    await _ask(port, question)
-    return failed.refusal
+    answer = await _ask(port, question, failed.refusal)
+    return answer if isinstance(answer, Refusal) else failed.refusal
 
 
-async def _ask(port: DispatchPort, question: Begin | AttemptFailed) -> Target | Refusal:
+async def _ask(
+    port: DispatchPort, question: Begin | AttemptFailed, when_full: Refusal
+) -> Target | Refusal:
     if port.router.tell(question) is Delivery.FULL:
-        return Refusal(Reason.BUSY)
+        return when_full
     return await question.reply.value()
 
 
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -17,12 +17,14 @@
 from _masticspoke.entry.listener import Handler
 from _masticspoke.exchange import outgoing
 from _masticspoke.exchange import refusal_response
-from _masticspoke.exchange import relay
 from _masticspoke.guard.run import GuardPort
 from _masticspoke.guard.run import run_call
 from _masticspoke.messages import NotAdmitted
 from _masticspoke.model import LoadReport
 from _masticspoke.refusals import Refusal
+from _masticspoke.relay import Cut
+from _masticspoke.relay import relay
+from _masticspoke.relay import Relayed
 
 ControlHandlers = Mapping[
     tuple[str, str], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -44,18 +46,22 @@
         if isinstance(call, Refusal):
             return refusal_response(call)
         sent = await outgoing(request, buffer_bytes)
+        relayed = Relayed(request)
 
         async def deliver(
             upstream: aiohttp.ClientResponse, report: LoadReport
-        ) -> web.StreamResponse:
-            return await relay(
-                request, upstream, {REPORT_HEADER: encode_report(report)}
-            )
+        ) -> web.StreamResponse | Cut:
+            headers = {REPORT_HEADER: encode_report(report)}
+            return await relay(relayed, upstream, headers)
 
         answer = await run_call(port, call, sent, deliver)
-        if isinstance(answer, NotAdmitted):
-            return refusal_response(answer.refusal, answer.report)
-        return answer
+        if isinstance(answer, web.StreamResponse):
+            return answer
+        if relayed.response is not None:
+            relayed.abort()
+            return relayed.response
+        assert isinstance(answer, NotAdmitted)
+        return refusal_response(answer.refusal, answer.report)
 
     return handle
 
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -1,11 +1,8 @@
-"""One HTTP exchange with the next process, and the relay of its answer."""
+"""Requests to the next process, the connections for them, and refusals."""
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -13,7 +10,6 @@
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 from yarl import URL
 
 from _masticspoke.border.headers import encode_report
@@ -28,11 +24,13 @@
 from _masticspoke.model import LoadReport
 from _masticspoke.refusals import REASONS
 from _masticspoke.refusals import Refusal
+from _masticspoke.relay import ONE_WRITE_BYTES
 
 ACCOUNT = web.RequestKey("account", RequestAccount)
-_ONE_WRITE_BYTES = 65_536
 # Below the idle time-outs usual in servers, which are 5 s and more.
 _KEEP_IDLE_S = 4.0
+# Nothing of a request was sent when one of these is raised.
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -68,9 +66,6 @@
         return URL(f"http://{address}{self.target}", encoded=True)
 
 
-Deliver = Callable[[aiohttp.ClientResponse], Awaitable[web.StreamResponse]]
-
-
 @final
 class Connections:
     """Client connections of one branch; open while their task runs."""
@@ -98,10 +93,9 @@
             auto_decompress=False,
             skip_auto_headers=_SKIPPED,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
-            read_bufsize=_ONE_WRITE_BYTES,
+            read_bufsize=ONE_WRITE_BYTES,
+            middlewares=(_send_once,),
         )
-        # The library's own second send runs a request twice unseen (issue 4).
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close all connections."""
@@ -110,6 +104,21 @@
             self._session = None
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the library from sending a request again that may have run.
+
+    It does so after these two errors of a kept connection, not after their base.
+    """
+    try:
+        return await handler(request)
+    except NOT_CONNECTED:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(repr(error)) from error
+
+
 async def outgoing(request: web.BaseRequest, buffer_bytes: int) -> Outgoing:
     """Return a request to pass on; a body up to ``buffer_bytes`` is read whole."""
     body: bytes | AsyncIterator[bytes] = b""
@@ -123,52 +132,6 @@
     return Outgoing(request.method, request.raw_path, headers, body, length, account)
 
 
-async def relay(
-    request: web.BaseRequest,
-    upstream: aiohttp.ClientResponse,
-    extra: Mapping[str, str],
-) -> web.StreamResponse:
-    """Pass an answer on, with back-pressure; a broken one never looks complete."""
-    headers = forwarded(upstream.headers)
-    headers.extend(extra)
-    length = upstream.content_length
-    if length is not None and length <= _ONE_WRITE_BYTES and request.method != "HEAD":
-        body = await upstream.read()
-        return web.Response(status=upstream.status, headers=headers, body=body)
-    return await _relay_stream(request, upstream, headers, length)
-
-
-async def _relay_stream(
-    request: web.BaseRequest,
-    upstream: aiohttp.ClientResponse,
-    headers: CIMultiDict[str],
-    length: int | None,
-) -> web.StreamResponse:
-    response = web.StreamResponse(status=upstream.status, headers=headers)
-    if length is not None:
-        response.content_length = length
-    elif upstream.version == aiohttp.HttpVersion11:
-        response.enable_chunked_encoding()
-    await response.prepare(request)
-    try:
-        async for chunk in upstream.content.iter_any():
-            await response.write(chunk)
-    except (aiohttp.ClientError, ConnectionError):
-        abort(request)
-        return response
-    except asyncio.CancelledError:
-        abort(request)
-        raise
-    await response.write_eof()
-    return response
-
-
-def abort(request: web.BaseRequest) -> None:
-    """Break the connection, so that the answer can't be taken for a whole one."""
-    if request.transport is not None:
-        request.transport.abort()
-
-
 def refusal_response(
     refusal: Refusal, report: LoadReport | None = None
 ) -> web.Response:
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -19,6 +19,7 @@
 from _masticspoke.border.headers import shed_by_backend
 from _masticspoke.border.headers import TRACE_HEADER
 from _masticspoke.exchange import Connections
+from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.runs import RunsMessage
@@ -43,15 +44,15 @@
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
+from _masticspoke.relay import Cut
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import Clock
 
-DeliverRun = Callable[
-    [aiohttp.ClientResponse, LoadReport], Awaitable[web.StreamResponse]
-]
+Answer = web.StreamResponse | Cut
+DeliverRun = Callable[[aiohttp.ClientResponse, LoadReport], Awaitable[Answer]]
 
 _PROBE_TIMEOUT_S = 0.2
 
@@ -74,7 +75,7 @@
 
 async def run_call(
     port: GuardPort, call: Call, request: Outgoing, deliver: DeliverRun
-) -> web.StreamResponse | NotAdmitted:
+) -> Answer | NotAdmitted:
     """Ask the gate, run the call, and pass its answer to ``deliver``.
 
     What comes back without an answer says how much of the allowance is left.
@@ -107,7 +108,7 @@
 
 async def _admit_and_run(
     port: GuardPort, call: Call, number: int, request: Outgoing, deliver: DeliverRun
-) -> web.StreamResponse | NotAdmitted:
+) -> Answer | NotAdmitted:
     reply: Reply[Admitted | NotAdmitted] = Reply()
     question = Admit(call, number, reply)
     if port.gate.tell(question) is Delivery.FULL:
@@ -144,7 +145,7 @@
     admitted: Admitted,
     request: Outgoing,
     deliver: DeliverRun,
-) -> web.StreamResponse | NotAdmitted:
+) -> Answer | NotAdmitted:
     started = port.clock()
     request.account.wait_began(started)
     end = RunEnd.LEFT
@@ -172,7 +173,7 @@
     admitted: Admitted,
     request: Outgoing,
     deliver: DeliverRun,
-) -> web.StreamResponse | NotAdmitted:
+) -> Answer | NotAdmitted:
     try:
         async with port.connections.session.request(
             request.method,
@@ -186,8 +187,11 @@
                 refusal = Refusal(Reason.BACKEND_SHED)
                 return await _settled(port, call, admitted, refusal)
             report = await _settled_report(port, call, admitted)
-            return await deliver(upstream, report)
-    except aiohttp.ClientConnectorError as error:
+            answer = await deliver(upstream, report)
+        if isinstance(answer, Cut) and not answer.by_caller:
+            await _report_broken(port, admitted)
+        return answer
+    except NOT_CONNECTED as error:
         refusal = Refusal(Reason.BACKEND_UNREACHABLE, Ran.NO, detail=str(error))
     except (aiohttp.ClientError, ConnectionError) as error:
         refusal = Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
@@ -195,7 +199,9 @@
     return await _settled(port, call, admitted, refusal)
 
 
-def _end_of(answer: web.StreamResponse | NotAdmitted) -> RunEnd:
+def _end_of(answer: Answer | NotAdmitted) -> RunEnd:
+    if isinstance(answer, Cut):
+        return RunEnd.LEFT if answer.by_caller else RunEnd.NOT_RUN
     return RunEnd.NOT_RUN if isinstance(answer, NotAdmitted) else RunEnd.ANSWERED
 
 
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -252,7 +252,8 @@
 class RunEnd(Enum):
     """How a run ended, as far as suspicion goes.
 
-    ``LEFT`` runs were cancelled: the backend server may still work on them.
+    ``LEFT`` runs were cancelled: the backend server may still work on them. Nothing
+    is learnt of ``NOT_RUN`` ones, nor of those that broke off.
     """
 
     ANSWERED = "answered"
--- /dev/null
+++ b/testing/live/test_whole_answers.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+import http.client
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from testing.live.fleet import Fleet
+from testing.live.fleet import http as send
+from testing.live.fleet import ROOT
+from testing.live.fleet import Server
+from testing.live.fleet import wait_until
+
+CATALOGUE = ROOT / "examples" / "kerala-south.ini"
+MIB = 2**20
+
+
+def start(fleet: Fleet, *, auditors: int) -> Server:
+    """Start a front node of another service and the given archive servers."""
+    front = fleet.add("front", "batch-board", "kochi-a")
+    for number in range(auditors):
+        fleet.add(f"vault{number}", "audit-vault", "kochi-a")
+    fleet.apply(CATALOGUE)
+    fleet.wait_ready()
+    return front
+
+
+def expected(size: int) -> bytes:
+    return (bytes(range(251)) * (size // 251 + 1))[:size]
+
+
+def test_rest_of_a_broken_answer_comes_from_another_server(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        front = start(fleet, auditors=2)
+        size = 4 * MIB
+        query = f"size={size}&etag=v1&die_at={MIB}&chunk_ms=1"
+        code, body = send("GET", f"{front.url}/archives/1?{query}")
+        assert code == 200
+        assert body == expected(size)
+        vaults = [s for s in fleet.servers if s is not front]
+        codes = [s.backend.poll() for s in vaults if s.backend]
+        assert sorted(codes, key=str) == [9, None]
+
+
+@pytest.mark.parametrize("query", ["", "&chunked=1"])
+def test_broken_answer_without_ranges_does_not_look_whole(
+    tmp_path: Path, query: str
+) -> None:
+    with Fleet(tmp_path) as fleet:
+        front = start(fleet, auditors=2)
+        url = f"{front.url}/archives/1?size={4 * MIB}&die_at={MIB}&chunk_ms=1{query}"
+        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+            send("GET", url)
+
+
+def test_deadline_covers_the_whole_answer(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        front = start(fleet, auditors=1)
+        url = f"{front.url}/archives/1?size={64 * MIB}&chunk_ms=20"
+        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+            send("GET", url, headers={"Masticspoke-Deadline-Ms": "500"})
+        wait_until(lambda: idle(fleet.servers[1]), 5, "the backend server stops")
+
+
+def test_work_stops_when_the_client_leaves(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        front = start(fleet, auditors=1)
+        with socket.create_connection(("127.0.0.1", front.client_port)) as client:
+            client.sendall(
+                b"GET /archives/1?latency_ms=60000 HTTP/1.1\r\nHost: x\r\n\r\n"
+            )
+            wait_until(lambda: not idle(fleet.servers[1]), 5, "it runs")
+        wait_until(lambda: idle(fleet.servers[1]), 5, "it stops")
+
+
+def idle(server: Server) -> bool:
+    url = f"http://127.0.0.1:{server.own_port}/runs"
+    return b'"running": 0' in send("GET", url)[1]
+
+
+def test_large_answer_is_not_held_in_memory(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        front = start(fleet, auditors=1)
+        nodes = fleet.servers[:2]
+        send("GET", f"{front.url}/archives/1?size={20 * MIB}")
+        before = [resident_kib(s) for s in nodes]
+        most = list(before)
+        connection = http.client.HTTPConnection("127.0.0.1", front.client_port)
+        connection.request("GET", f"/archives/1?size={200 * MIB}")
+        answer = connection.getresponse()
+        length = 0
+        while chunk := answer.read(2 * MIB):
+            length += len(chunk)
+            if length < 20 * MIB:
+                time.sleep(0.02)
+            most = [max(m, resident_kib(s)) for m, s in zip(most, nodes, strict=True)]
+        assert length == 200 * MIB
+        grown = [m - b for m, b in zip(most, before, strict=True)]
+        assert max(grown) < 4 * 1024, grown
+
+
+def resident_kib(server: Server) -> int:
+    assert server.node is not None
+    status = Path(f"/proc/{server.node.pid}/status").read_text()
+    (line,) = (s for s in status.splitlines() if s.startswith("VmRSS"))
+    return int(line.split()[1])
--- a/testing/standins/backend_server.py
+++ b/testing/standins/backend_server.py
@@ -6,8 +6,10 @@
 called through the own node for each request), ``journal`` (a file that gets the
 ``Idempotency-Key`` of each run, also of a process that is killed later). The query of
 a request may ask for ``latency_ms``, ``size`` (bytes of the answer), ``chunk_ms``
-(pause between 64 KiB chunks) and ``crash=1`` (the process ends at once). ``GET /runs``
-tells how often each ``Idempotency-Key`` was run.
+(pause between 64 KiB chunks), ``etag`` (ranges are served), ``die_at`` (the process
+ends after so many bytes, unless a range was asked for) and ``crash=1`` (the process
+ends at once). A request whose caller goes away is given up. ``GET /runs`` tells how
+often each ``Idempotency-Key`` was run.
 """
 
 from __future__ import annotations
@@ -24,7 +26,7 @@
 import aiohttp
 from aiohttp import web
 
-CHUNK = b"x" * 65_536
+CHUNK = bytes(range(251)) * 262
 
 
 @dataclass
@@ -51,6 +53,12 @@
     started: float = field(default_factory=time.monotonic)
 
 
+def content(start: int, end: int) -> bytes:
+    """Return a part of a body whose bytes tell their place."""
+    skipped = start % 251
+    return CHUNK[skipped : min(len(CHUNK), skipped + end - start)]
+
+
 def parse_options(words: list[str]) -> Options:
     values = dict(word.split("=", 1) for word in words)
     kinds = {"child": str, "journal": str, "latency_ms": float, "cold_start_ms": float}
@@ -70,6 +78,7 @@
                 {
                     "runs": backend.runs,
                     "served": backend.served,
+                    "running": backend.running,
                     "most_running": backend.most_running,
                 }
             )
@@ -117,18 +126,40 @@
 
     async def stream(request: web.BaseRequest, size: int) -> web.StreamResponse:
         response = web.StreamResponse()
+        sent = 0
+        if "etag" in request.query:
+            sent = range_start(request, response, size)
         if request.query.get("chunked") != "1":
-            response.content_length = size
+            response.content_length = size - sent
         await response.prepare(request)
         pause_s = float(request.query.get("chunk_ms", 0)) / 1000
-        while size > 0:
-            await response.write(CHUNK[: min(size, len(CHUNK))])
-            size -= len(CHUNK)
+        die_at = int(request.query.get("die_at", size + 1))
+        while sent < size:
+            chunk = content(sent, min(size, sent + len(CHUNK)))
+            await response.write(chunk)
+            sent += len(chunk)
+            if sent >= die_at and "Range" not in request.headers:
+                await asyncio.sleep(0.1)
+                os._exit(9)
             if pause_s:
                 await asyncio.sleep(pause_s)
         await response.write_eof()
         return response
 
+    def range_start(
+        request: web.BaseRequest, response: web.StreamResponse, size: int
+    ) -> int:
+        etag = f'"{request.query["etag"]}"'
+        response.headers["ETag"] = etag
+        response.headers["Accept-Ranges"] = "bytes"
+        wanted = request.headers.get("Range", "")
+        if not wanted or request.headers.get("If-Range") != etag:
+            return 0
+        start = int(wanted.removeprefix("bytes=").removesuffix("-"))
+        response.set_status(206)
+        response.headers["Content-Range"] = f"bytes {start}-{size - 1}/{size}"
+        return start
+
     return run
 
 
@@ -158,7 +189,9 @@
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0)
     ) as session:
-        server = web.Server(handler(backend, session), access_log=None)  # type: ignore[arg-type]
+        server = web.Server(
+            handler(backend, session), access_log=None, handler_cancellation=True
+        )  # type: ignore[arg-type]
         runner = web.ServerRunner(server, shutdown_timeout=30)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", backend.port).start()
