--- a/src/_masticspoke/dispatch/keyed.py
+++ b/src/_masticspoke/dispatch/keyed.py
@@ -31,7 +31,6 @@
 from _masticspoke.dispatch.conduct import Conduct
 from _masticspoke.dispatch.conduct import DispatchPort
 from _masticspoke.exchange import Outgoing
-from _masticspoke.exchange import relay
 from _masticspoke.guard.run import fingerprint
 from _masticspoke.messages import AskKey
 from _masticspoke.messages import AttemptEnded
@@ -46,6 +45,9 @@
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
+from _masticspoke.relay import Cut
+from _masticspoke.relay import relay
+from _masticspoke.relay import Relayed
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
@@ -109,7 +111,8 @@
         return _TOO_LONG
     try:
         async with asyncio.timeout(call.deadline - port.dispatch.clock()):
-            return await _ask_home(port, Conduct(request, None, sent), call, find)
+            held = Conduct(request, None, Relayed(request), sent)
+            return await _ask_home(port, held, call, find)
     except TimeoutError:
         return _LATE
 
@@ -235,7 +238,11 @@
     if REFUSED_HEADER in upstream.headers:
         refusal = decode_problem(await upstream.read())
         return refusal or Refusal(Reason.NODE_FAILED, Ran.UNKNOWN)
-    return await relay(held.request, upstream, {})
+    answer = await relay(held.relayed, upstream, {})
+    if not isinstance(answer, Cut):
+        return answer
+    held.relayed.abort()
+    return answer.response
 
 
 def _release(port: DispatchPort, target: Target) -> None:
--- a/testing/live/fleet.py
+++ b/testing/live/fleet.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -12,18 +13,33 @@
 import urllib.error
 import urllib.request
 from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
 
 ROOT = Path(__file__).parents[2]
+FIRST_PORT = 10_000
+PORT_BLOCKS = 44
+PORTS_A_BLOCK = 500
+
+
+def _candidates() -> Iterator[int]:
+    """Ports below those that the system gives to outgoing connections."""
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_A_BLOCK
+    while True:
+        yield from range(first, first + PORTS_A_BLOCK)
+
+
+_PORTS = _candidates()
 
 
 def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
-        return port
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as s, contextlib.suppress(OSError):
+            s.bind(("127.0.0.1", port))
+            return port
 
 
 def http(
