Cover calls with children in the rolling restart

Change: the inspection desks call batch-board through their node while all four nodes restart in turn, and while a backend server leaves.

--- a/testing/live/test_planned_stop.py
+++ b/testing/live/test_planned_stop.py
@@ -81,8 +81,8 @@
 
 
 def small_fleet(fleet: Fleet) -> None:
-    fleet.add("a", "inspect-desk", "kochi-a")
-    fleet.add("b", "inspect-desk", "kochi-b")
+    fleet.add("a", "inspect-desk", "kochi-a", child="/batches/7")
+    fleet.add("b", "inspect-desk", "kochi-b", child="/batches/8")
     fleet.add("c", "batch-board", "kochi-a")
     fleet.add("d", "batch-board", "kochi-b")
     fleet.apply(CATALOGUE)
@@ -144,7 +144,7 @@
     with Fleet(tmp_path) as fleet:
         leaving = fleet.add("a", "batch-board", "kochi-a", ttl_ms=60_000)
         fleet.add("b", "batch-board", "kochi-b")
-        fleet.add("c", "inspect-desk", "kochi-b")
+        fleet.add("c", "inspect-desk", "kochi-b", child="/batches/3")
         fleet.apply(CATALOGUE)
         fleet.wait_ready()
         fleet.log_faults(down=True)
