Keep claims out of the writer's mailbox in an outage; settle contested keys

Cause: in an outage each booking left a claim, and more each second, in the log writer's mailbox; at 20 bookings a second it is full after 8 minutes and then drops membership records too. Reviewing that path showed a second fault: a member that kept a claim dropped it when a kept claim of another home for the key stood in the log, and a reader took the first kept claim for the only one. With three homes in a row and a late seal the first home could then claim again what the second one ran.

Ruled out: a larger mailbox; a mailbox of its own for claims (drops them all the same).

Change: no claims are sent while the log is silent; own kept claims are appended when it is back. Two writers of a key make it contested: nobody runs it, it is outcome-unknown.

Proof: tests of the key table for each, and tests of the home's task.

--- a/src/_masticspoke/decisions/once/confirm.py
+++ b/src/_masticspoke/decisions/once/confirm.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from collections.abc import Sequence
+
 from _masticspoke.decisions.once.ledger import Ledger
 from _masticspoke.decisions.once.model import Append
 from _masticspoke.decisions.once.model import Claim
 from _masticspoke.decisions.once.model import ConfirmAsked
 from _masticspoke.decisions.once.model import Confirmed
+from _masticspoke.decisions.once.model import CONTESTED
 from _masticspoke.decisions.once.model import Kept
 from _masticspoke.decisions.once.model import OnceEffect
 from _masticspoke.decisions.once.model import Seal
@@ -46,16 +50,42 @@
 
 def seal(state: OnceState, service: str, through: int, now: float) -> list[OnceEffect]:
     """Append all kept claims and the promise to confirm no more up to a view."""
-    ledger = ledger_of(state, service)
-    for digest in [d for d in state.kept if d in ledger.claims]:
-        del state.kept[digest]
     kept = [k.claim for k in state.kept.values() if k.claim.service == service]
-    records = [
-        Append(Kept(service, tuple(kept[start : start + _CLAIMS_A_RECORD])))
-        for start in range(0, len(kept), _CLAIMS_A_RECORD)
-    ]
     state.unread_seals[service] = UnreadSeal(through, now)
-    return [*records, Append(Seal(service, through, state.me))]
+    return [*_append_kept(service, kept), Append(Seal(service, through, state.me))]
+
+
+def _append_kept(service: str, claims: Sequence[Claim]) -> list[OnceEffect]:
+    return [
+        Append(Kept(service, tuple(claims[start : start + _CLAIMS_A_RECORD])))
+        for start in range(0, len(claims), _CLAIMS_A_RECORD)
+    ]
+
+
+def claims_read(state: OnceState, claims: Iterable[Claim]) -> None:
+    """Stop keeping the claims that the log has."""
+    for claim in claims:
+        claimed = ledger_of(state, claim.service).claims.get(claim.digest)
+        kept = state.kept.get(claim.digest)
+        if claimed is None or kept is None:
+            continue
+        if claimed.counted or claimed.writer in (kept.claim.writer, CONTESTED):
+            del state.kept[claim.digest]
+
+
+def own_claims_due(state: OnceState, now: float) -> list[OnceEffect]:
+    """Append the own claims that members kept while the log was silent."""
+    if state.log_silent or now - state.own_claims_sent_at < state.limits.retry_s:
+        return []
+    state.own_claims_sent_at = now
+    services: dict[str, list[Claim]] = {}
+    for digest, kept in state.kept.items():
+        if kept.claim.writer == state.me and digest not in state.waiting:
+            services.setdefault(kept.claim.service, []).append(kept.claim)
+    effects: list[OnceEffect] = []
+    for service, claims in services.items():
+        effects += _append_kept(service, claims)
+    return effects
 
 
 def seal_read(state: OnceState, record: Seal) -> None:
--- a/src/_masticspoke/decisions/once/decide.py
+++ b/src/_masticspoke/decisions/once/decide.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 from _masticspoke.decisions.once.answers import evict_old
+from _masticspoke.decisions.once.confirm import claims_read
 from _masticspoke.decisions.once.confirm import confirm_asked
+from _masticspoke.decisions.once.confirm import own_claims_due
 from _masticspoke.decisions.once.confirm import seal
 from _masticspoke.decisions.once.confirm import seal_read
 from _masticspoke.decisions.once.confirm import seals_due
@@ -60,6 +62,10 @@
     reduce(ledger, item, state.me, state.rules, state.limits, now)
     if isinstance(item, Seal):
         seal_read(state, item)
+    if isinstance(item, Claim):
+        claims_read(state, (item,))
+    if isinstance(item, Kept):
+        claims_read(state, item.claims)
     if ledger.view is before or not is_member(before, state.me):
         return []
     return seal(state, item.service, ledger.view.number - 1, now)
@@ -79,7 +85,8 @@
         forget_old(state, now)
         for ledger in state.ledgers.values():
             forget_expired(ledger, state.limits, now)
-    return [*seals_due(state, now), *_progress_all(state, now)]
+    due = [*seals_due(state, now), *own_claims_due(state, now)]
+    return due + _progress_all(state, now)
 
 
 _DECIDERS: dict[type, Callable[..., list[OnceEffect]]] = {
--- a/src/_masticspoke/decisions/once/keys.py
+++ b/src/_masticspoke/decisions/once/keys.py
@@ -144,7 +144,8 @@
 
 
 def _send_claim(state: OnceState, key: Key, now: float) -> list[OnceEffect]:
-    if now - key.claim_sent_at < state.limits.retry_s:
+    # What waits for a silent log would fill the writer's mailbox (issue 5).
+    if state.log_silent or now - key.claim_sent_at < state.limits.retry_s:
         return []
     key.claim_sent_at = now
     return [Append(_claim_of(state, key))]
--- a/src/_masticspoke/decisions/once/ledger.py
+++ b/src/_masticspoke/decisions/once/ledger.py
@@ -8,6 +8,7 @@
 from typing import final
 
 from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import CONTESTED
 from _masticspoke.decisions.once.model import Identity
 from _masticspoke.decisions.once.model import Kept
 from _masticspoke.decisions.once.model import OnceLimits
@@ -23,7 +24,7 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Claimed:
-    """Who may have run a key.
+    """Who may have run a key; :data:`CONTESTED` if that may be one of several.
 
     :param counted: whether the writer's own claim counts in the log, which gives
         it the right to run the key; otherwise it was kept by a member.
@@ -92,7 +93,11 @@
 
 def _kept(ledger: Ledger, kept: Kept, rules: Rules, now: float) -> None:
     for claim in kept.claims:
-        ledger.claims.setdefault(claim.digest, Claimed(claim.writer, False, now))
+        known = ledger.claims.get(claim.digest)
+        if known is None:
+            ledger.claims[claim.digest] = Claimed(claim.writer, False, now)
+        elif not known.counted and known.writer != claim.writer:
+            ledger.claims[claim.digest] = Claimed(CONTESTED, False, known.read_at)
 
 
 def _seal(ledger: Ledger, seal: Seal, rules: Rules, now: float) -> None:
--- a/src/_masticspoke/decisions/once/model.py
+++ b/src/_masticspoke/decisions/once/model.py
@@ -25,6 +25,10 @@
     process: str
 
 
+# Stands for the writer of a key that two homes claimed: neither may run it now.
+CONTESTED = Identity(Address("", 0), "")
+
+
 def identity_of(member: Member) -> Identity:
     """Return the process that a member of a view stands for."""
     return process_at(member.node, member.incarnation)
--- a/src/_masticspoke/decisions/once/state.py
+++ b/src/_masticspoke/decisions/once/state.py
@@ -11,6 +11,7 @@
 from _masticspoke.decisions.once.answers import Answers
 from _masticspoke.decisions.once.ledger import Ledger
 from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import CONTESTED
 from _masticspoke.decisions.once.model import Identity
 from _masticspoke.decisions.once.model import OnceEffect
 from _masticspoke.decisions.once.model import OnceLimits
@@ -104,6 +105,7 @@
     answers: Answers = field(default_factory=Answers)
     last_read_at: float = NEVER
     log_silent: bool = False
+    own_claims_sent_at: float = NEVER
     next_forgetting_at: float = NEVER
 
 
@@ -117,11 +119,12 @@
 
 def known_writer(state: OnceState, ledger: Ledger, digest: str) -> Identity | None:
     """Return who may have run a key, as far as the log and this node know."""
-    claimed = ledger.claims.get(digest)
-    if claimed is not None:
-        return claimed.writer
-    kept = state.kept.get(digest)
-    return kept.claim.writer if kept is not None else None
+    claimed, kept = ledger.claims.get(digest), state.kept.get(digest)
+    if kept is None:
+        return None if claimed is None else claimed.writer
+    if claimed is None or claimed.writer == kept.claim.writer:
+        return kept.claim.writer
+    return claimed.writer if claimed.counted else CONTESTED
 
 
 def reply_all(key: Key, result: Result) -> list[OnceEffect]:
--- a/testing/decisions/once/test_keys.py
+++ b/testing/decisions/once/test_keys.py
@@ -272,6 +272,55 @@
     )
 
 
+def test_a_key_that_two_homes_claimed_is_run_by_neither() -> None:
+    node = started(1, V1)
+    node.ask(KEY)
+    node.read(Kept(SERVICE, (Claim(SERVICE, KEY, identity(1), 1),)))
+    assert_that(node.state.keys, HasLength(1))
+
+    effects = node.read(Kept(SERVICE, (Claim(SERVICE, KEY, identity(2), 1),)))
+
+    assert_that(effects, Equals([Reply(1, OUTCOME_UNKNOWN)]))
+
+
+def test_a_member_keeps_a_claim_though_the_log_has_that_of_another_home() -> None:
+    claim = Claim(SERVICE, KEY, identity(1), 1)
+    member = started(2, V1)
+    member.see(ConfirmAsked(claim))
+
+    member.read(Kept(SERVICE, (Claim(SERVICE, KEY, identity(3), 1),)))
+    assert_that(member.see(ConfirmAsked(claim)), HasLength(0))
+    effects = member.read(view(2, 2, 3))
+
+    assert_that(effects[0], Equals(Append(Kept(SERVICE, (claim,)))))
+
+
+def test_claims_kept_in_an_outage_reach_the_log_when_it_is_back() -> None:
+    node = started(1, V1)
+    node.ask(KEY)
+    node.tick(1.0)
+    claim = Claim(SERVICE, KEY, identity(1), 1)
+    node.see(Confirmed(claim, identity(2)))
+    assert_that(of_type(Append, node.tick(600.0)), HasLength(0))
+
+    node.read()
+
+    appended = Append(Kept(SERVICE, (claim,)))
+    assert_that(of_type(Append, node.tick(0.0)), Equals([appended]))
+    node.read(appended.record)
+    assert_that(of_type(Append, node.tick(10.0)), HasLength(0))
+
+
+def test_fresh_keys_are_confirmed_ten_minutes_into_an_outage() -> None:
+    node = started(1, V1)
+    node.tick(600.0)
+    node.ask(KEY)
+
+    asked = of_type(SendConfirmAsked, node.tick(1.0))
+
+    assert_that(asked, HasLength(2))
+
+
 def test_a_claim_read_while_views_are_missing_is_taken_for_one_that_counts() -> None:
     node = Node(OnceState(identity(1), LIMITS))
     claim = Claim(SERVICE, KEY, identity(9), 1)
