--- a/src/_masticspoke/control/home_port.py
+++ b/src/_masticspoke/control/home_port.py
@@ -9,10 +9,10 @@
 from _masticspoke.border.once import MAX_CONFIRM_BYTES
 from _masticspoke.border.paths import KEEP_PATH
 from _masticspoke.control.home import HomeMessage
-from _masticspoke.control.peer_port import read_bounded
 from _masticspoke.decisions.once.model import Confirmed
 from _masticspoke.decisions.once.model import Identity
 from _masticspoke.entry.peers import ControlHandlers
+from _masticspoke.exchange import read_bounded
 from _masticspoke.exchange import refusal_response
 from _masticspoke.messages import KeepClaims
 from _masticspoke.refusals import Reason
