--- a/src/_masticspoke/border/headers.py
+++ b/src/_masticspoke/border/headers.py
@@ -9,9 +9,11 @@
 from multidict import CIMultiDict
 from pydantic import Field
 from pydantic import ValidationError
+from yarl import URL
 
 from _masticspoke.border.fields import BorderModel
 from _masticspoke.decisions.resumption import AnswerHead
+from _masticspoke.model import Address
 from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
 from _masticspoke.model import RequestShape
@@ -26,6 +28,7 @@
 RAN_HEADER = "Masticspoke-Ran"
 KEY_HEADER = "Idempotency-Key"
 TRACE_HEADER = "traceparent"
+VIA_HEADER = "Via"
 
 HOP_BY_HOP = frozenset(
     {
@@ -172,9 +175,14 @@
 
 
 def request_shape(
-    method: str, path: str, headers: Mapping[str, str], *, from_backend: bool
+    method: str, target: str, headers: Mapping[str, str], *, from_backend: bool
 ) -> RequestShape | Refusal:
-    """Return what classification reads of a request, or why it is malformed."""
+    """Return what classification reads of a request, or why it is malformed.
+
+    :param target: path and query as they were written.
+    """
+    if not is_origin_form(target):
+        return Refusal(Reason.MALFORMED, detail="the request target must be a path")
     deadline = headers.get(DEADLINE_HEADER)
     if deadline is not None and not _is_deadline(deadline):
         return Refusal(
@@ -189,7 +197,7 @@
         )
     return RequestShape(
         method=method,
-        path=path,
+        path=URL(target.partition("?")[0], encoded=True).path,
         key=key,
         deadline_ms=int(deadline) if deadline is not None else None,
         trace=decode_traceparent(headers.get(TRACE_HEADER)),
@@ -240,6 +248,24 @@
     )
 
 
+def with_via(headers: CIMultiDict[str], node: Address) -> None:
+    """Note in the headers that a request passed a node's guard."""
+    before = headers.get(VIA_HEADER)
+    own = f"1.1 {node}"
+    headers[VIA_HEADER] = own if before is None else f"{before}, {own}"
+
+
+def passed(headers: Mapping[str, str], node: Address) -> bool:
+    """Return whether a request passed a node's guard before."""
+    hops = headers.get(VIA_HEADER, "").split(",")
+    return any(hop.split()[1:2] == [str(node)] for hop in hops)
+
+
+def is_origin_form(target: str) -> bool:
+    """Return whether a request target is a path, and can't name another server."""
+    return target.startswith("/")
+
+
 def shed_by_backend(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether a backend server says that it did not run a request."""
     return status == 503 and headers.get(RAN_HEADER) == "no"
--- a/src/_masticspoke/dispatch/attempt.py
+++ b/src/_masticspoke/dispatch/attempt.py
@@ -171,7 +171,8 @@
     except NOT_CONNECTED as error:
         return _failed(Reason.NODE_UNREACHABLE, Ran.NO, error)
     except (aiohttp.ClientError, ConnectionError) as error:
-        return _failed(Reason.NODE_FAILED, Ran.UNKNOWN, error)
+        reason = Reason.MALFORMED if held.sent.source.failed else Reason.NODE_FAILED
+        return _failed(reason, Ran.UNKNOWN, error)
     finally:
         account.wait_ended(port.clock())
 
--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -22,8 +21,9 @@
 from _masticspoke.dispatch.router import RouterMessage
 from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
-from _masticspoke.exchange import outgoing
+from _masticspoke.exchange import receive
 from _masticspoke.guard.run import GuardPort
+from _masticspoke.messages import AttemptEnded
 from _masticspoke.messages import AttemptFailed
 from _masticspoke.messages import Begin
 from _masticspoke.messages import Borrow
@@ -111,13 +111,17 @@
 
 
 async def _serve(port: DispatchPort, held: Conduct, first: Target) -> Answer:
+    wait_s = first.call.deadline - port.clock()
+    received: Outgoing | Refusal | None = None
     try:
-        async with asyncio.timeout(first.call.deadline - port.clock()):
-            held.sent = await outgoing(held.request, port.buffer_bytes)
-    except TimeoutError:
-        failed = Failed(Refusal(Reason.DEADLINE_PASSED, detail="body incomplete"))
+        received = await receive(held.request, port.buffer_bytes, wait_s)
+    finally:
+        if not isinstance(received, Outgoing):
+            port.router.tell(AttemptEnded(first, None, None, 0.0))
+    if isinstance(received, Refusal):
         held.unused += first.call.allowance
-        return await _give_up(port, first, failed)
+        return received
+    held.sent = received
     return await port.serve[handling(first.call)](port, held, first)
 
 
@@ -167,14 +171,6 @@
     return step
 
 
-async def _give_up(port: DispatchPort, target: Target, failed: Failed) -> Answer:
-    question = AttemptFailed(
-        target, failed.refusal, None, 0, 0.0, resendable=False, reply=Reply()
-    )
-    answer = await _ask(port, question, failed.refusal)
-    return answer if isinstance(answer, Refusal) else failed.refusal
-
-
 async def _ask(
     port: DispatchPort, question: Begin | AttemptFailed, when_full: Refusal
 ) -> Target | Refusal:
--- a/src/_masticspoke/entry/announcements.py
+++ b/src/_masticspoke/entry/announcements.py
@@ -9,6 +9,7 @@
 from _masticspoke.border.paths import BACKEND_PATH
 from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.peer_port import read_bounded
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.entry.peers import route_control
@@ -38,10 +39,11 @@
     """
 
     async def announce(request: web.BaseRequest) -> web.StreamResponse:
-        if (request.content_length or 0) > _MAX_BYTES:
+        body = await read_bounded(request, _MAX_BYTES)
+        if body is None:
             return _refuse(f"announcement longer than {_MAX_BYTES} bytes")
         try:
-            found = decode_announcement(await request.read(), node, zone)
+            found = decode_announcement(body, node, zone)
         except ValidationError as error:
             return _refuse(f"{error.error_count()} faults in the announcement")
         return _told(keeper.tell(BackendAnnounced(found.member, found.ttl_s)))
--- a/src/_masticspoke/entry/clients.py
+++ b/src/_masticspoke/entry/clients.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from _masticspoke.border.headers import passed
 from _masticspoke.border.headers import request_shape
 from _masticspoke.dispatch.conduct import conduct
 from _masticspoke.dispatch.conduct import DispatchPort
@@ -12,6 +13,7 @@
 from _masticspoke.messages import Lend
 from _masticspoke.model import Loan
 from _masticspoke.model import RequestShape
+from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Reply
@@ -25,8 +27,10 @@
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         shape = request_shape(
-            request.method, request.path, request.headers, from_backend=from_backend
+            request.method, request.raw_path, request.headers, from_backend=from_backend
         )
+        if not from_backend and passed(request.headers, port.guard.own):
+            shape = Refusal(Reason.LOOP, detail="the request came from this node")
         if isinstance(shape, Refusal):
             return refusal_response(shape)
         loan = await _loan(port, shape, request.raw_path)
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -12,15 +12,19 @@
 from _masticspoke.border.headers import CALL_HEADER
 from _masticspoke.border.headers import decode_call
 from _masticspoke.border.headers import encode_report
+from _masticspoke.border.headers import is_origin_form
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.entry.listener import Handler
-from _masticspoke.exchange import outgoing
+from _masticspoke.exchange import Outgoing
+from _masticspoke.exchange import receive
 from _masticspoke.exchange import refusal_response
 from _masticspoke.guard.run import GuardPort
 from _masticspoke.guard.run import run_call
 from _masticspoke.messages import NotAdmitted
+from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
+from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.relay import Cut
 from _masticspoke.relay import relay
@@ -42,30 +46,44 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path.startswith(CONTROL_PREFIX):
             return await route_control(request, control)
-        call = decode_call(request.headers.get(CALL_HEADER), port.clock())
+        call = _call(request, port.clock())
         if isinstance(call, Refusal):
             return refusal_response(call)
-        sent = await outgoing(request, buffer_bytes)
-        relayed = Relayed(request)
-
-        async def deliver(
-            upstream: aiohttp.ClientResponse, report: LoadReport
-        ) -> web.StreamResponse | Cut:
-            headers = {REPORT_HEADER: encode_report(report)}
-            return await relay(relayed, upstream, headers)
-
-        answer = await run_call(port, call, sent, deliver)
-        if isinstance(answer, web.StreamResponse):
-            return answer
-        if relayed.response is not None:
-            relayed.abort()
-            return relayed.response
-        assert isinstance(answer, NotAdmitted)
-        return refusal_response(answer.refusal, answer.report)
+        sent = await receive(request, buffer_bytes, call.deadline - port.clock())
+        if isinstance(sent, Refusal):
+            return refusal_response(sent)
+        return await _answer(port, request, call, sent)
 
     return handle
 
 
+def _call(request: web.BaseRequest, now: float) -> Call | Refusal:
+    if not is_origin_form(request.raw_path):
+        return Refusal(Reason.MALFORMED, detail="the request target must be a path")
+    return decode_call(request.headers.get(CALL_HEADER), now)
+
+
+async def _answer(
+    port: GuardPort, request: web.BaseRequest, call: Call, sent: Outgoing
+) -> web.StreamResponse:
+    relayed = Relayed(request)
+
+    async def deliver(
+        upstream: aiohttp.ClientResponse, report: LoadReport
+    ) -> web.StreamResponse | Cut:
+        headers = {REPORT_HEADER: encode_report(report)}
+        return await relay(relayed, upstream, headers)
+
+    answer = await run_call(port, call, sent, deliver)
+    if isinstance(answer, web.StreamResponse):
+        return answer
+    if relayed.response is not None:
+        relayed.abort()
+        return relayed.response
+    assert isinstance(answer, NotAdmitted)
+    return refusal_response(answer.refusal, answer.report)
+
+
 async def route_control(
     request: web.BaseRequest, control: ControlHandlers
 ) -> web.StreamResponse:
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -22,6 +23,7 @@
 from _masticspoke.metrics.account import RequestAccount
 from _masticspoke.model import Address
 from _masticspoke.model import LoadReport
+from _masticspoke.refusals import Reason
 from _masticspoke.refusals import REASONS
 from _masticspoke.refusals import Refusal
 from _masticspoke.relay import ONE_WRITE_BYTES
@@ -34,6 +36,28 @@
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+@final
+class Source:
+    """The caller's side of a body that is passed on while it arrives."""
+
+    def __init__(self) -> None:
+        self._failed = False
+
+    @property
+    def failed(self) -> bool:
+        """Whether the body arrived malformed or not whole."""
+        return self._failed
+
+    async def chunks(self, content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+        """Pass the body on."""
+        try:
+            async for chunk in content.iter_any():
+                yield chunk
+        except (web.RequestPayloadError, aiohttp.ClientError, ConnectionError):
+            self._failed = True
+            raise
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Outgoing:
@@ -41,6 +65,7 @@
 
     :param body: the whole body, or an iterator that can be read once.
     :param length: length of a body that is not held in memory, if it is known.
+    :param source: where such a body comes from.
     :param account: figures of the request that it is made for.
     """
 
@@ -49,6 +74,7 @@
     headers: Mapping[str, str]
     body: bytes | AsyncIterator[bytes]
     length: str = ""
+    source: Source = field(default_factory=Source)
     account: RequestAccount = field(default_factory=lambda: RequestAccount(0.0))
 
     @classmethod
@@ -119,17 +145,35 @@
         raise aiohttp.ClientConnectionError(repr(error)) from error
 
 
-async def outgoing(request: web.BaseRequest, buffer_bytes: int) -> Outgoing:
-    """Return a request to pass on; a body up to ``buffer_bytes`` is read whole."""
+async def receive(
+    request: web.BaseRequest, buffer_bytes: int, wait_s: float
+) -> Outgoing | Refusal:
+    """Return a request to pass on; a body up to ``buffer_bytes`` is read whole.
+
+    :param wait_s: time that the body gets to arrive, if it is read here.
+    """
+    try:
+        async with asyncio.timeout(wait_s):
+            return await _outgoing(request, buffer_bytes)
+    except TimeoutError:
+        return Refusal(Reason.DEADLINE_PASSED, detail="the body did not arrive whole")
+    except web.RequestPayloadError as error:
+        return Refusal(Reason.MALFORMED, detail=f"request body: {error}")
+
+
+async def _outgoing(request: web.BaseRequest, buffer_bytes: int) -> Outgoing:
     body: bytes | AsyncIterator[bytes] = b""
+    source = Source()
     if request.can_read_body:
         small = request.content_length is not None
         small = small and request.content_length <= buffer_bytes  # type: ignore[operator]
-        body = await request.read() if small else request.content.iter_any()
+        body = await request.read() if small else source.chunks(request.content)
     headers = forwarded(request.headers)
     length = str(request.content_length or "")
     account = request.get(ACCOUNT) or RequestAccount(0.0)
-    return Outgoing(request.method, request.raw_path, headers, body, length, account)
+    return Outgoing(
+        request.method, request.raw_path, headers, body, length, source, account
+    )
 
 
 def refusal_response(
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -18,6 +18,7 @@
 from _masticspoke.border.headers import encode_traceparent
 from _masticspoke.border.headers import shed_by_backend
 from _masticspoke.border.headers import TRACE_HEADER
+from _masticspoke.border.headers import with_via
 from _masticspoke.exchange import Connections
 from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.exchange import Outgoing
@@ -63,6 +64,7 @@
     """What a request's task needs in order to run a call at the guard.
 
     :param watched: fingerprints of requests that have to ask for their turn.
+    :param own: peer address of this node.
     """
 
     gate: Mailbox[GateMessage]
@@ -71,6 +73,7 @@
     watched: Latest[frozenset[int]]
     connections: Connections
     clock: Clock
+    own: Address
 
 
 async def run_call(
@@ -194,8 +197,7 @@
     except NOT_CONNECTED as error:
         refusal = Refusal(Reason.BACKEND_UNREACHABLE, Ran.NO, detail=str(error))
     except (aiohttp.ClientError, ConnectionError) as error:
-        refusal = Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
-        await _report_broken(port, admitted)
+        refusal = await _after_break(port, admitted, request, error)
     return await _settled(port, call, admitted, refusal)
 
 
@@ -205,6 +207,15 @@
     return RunEnd.NOT_RUN if isinstance(answer, NotAdmitted) else RunEnd.ANSWERED
 
 
+async def _after_break(
+    port: GuardPort, admitted: Admitted, request: Outgoing, error: Exception
+) -> Refusal:
+    if request.source.failed:
+        return Refusal(Reason.MALFORMED, Ran.UNKNOWN, detail="request body broke off")
+    await _report_broken(port, admitted)
+    return Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
+
+
 async def _report_broken(port: GuardPort, admitted: Admitted) -> None:
     """Have the other guards told, before the caller can send it again."""
     down = not await _accepts_connections(admitted.backend)
@@ -227,6 +238,7 @@
     port: GuardPort, call: Call, admitted: Admitted, request: Outgoing
 ) -> CIMultiDict[str]:
     headers = CIMultiDict(request.headers)
+    with_via(headers, port.own)
     headers[TRACE_HEADER] = encode_traceparent(admitted.trace)
     remaining_ms = int((call.deadline - port.clock()) * 1000)
     headers[DEADLINE_HEADER] = str(max(1, remaining_ms))
--- a/src/_masticspoke/node.py
+++ b/src/_masticspoke/node.py
@@ -301,6 +301,7 @@
         parts.watched,
         parts.to_backend,
         time.monotonic,
+        node.peer_address,
     )
     port = DispatchPort(
         parts.router, parts.to_nodes, guard_port, time.monotonic, buffer_bytes
--- /dev/null
+++ b/testing/border/test_headers.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from multidict import CIMultiDict
+
+from _masticspoke.border.headers import decode_call
+from _masticspoke.border.headers import decode_report
+from _masticspoke.border.headers import encode_call
+from _masticspoke.border.headers import encode_report
+from _masticspoke.border.headers import forwarded
+from _masticspoke.border.headers import passed
+from _masticspoke.border.headers import request_shape
+from _masticspoke.border.headers import shed_by_backend
+from _masticspoke.border.headers import with_via
+from _masticspoke.model import Address
+from _masticspoke.model import Call
+from _masticspoke.model import LoadReport
+from _masticspoke.model import RequestShape
+from _masticspoke.refusals import Refusal
+
+NODE = Address("10.0.0.1", 80)
+
+
+def test_only_end_to_end_headers_of_others_go_on() -> None:
+    headers = CIMultiDict(
+        [
+            ("Accept", "a"),
+            ("accept", "b"),
+            ("Connection", "close, X-Hop"),
+            ("X-Hop", "1"),
+            ("Transfer-Encoding", "chunked"),
+            ("masticspoke-call", "{}"),
+            ("MASTICSPOKE-ANYTHING", "1"),
+            ("traceparent", "x"),
+        ]
+    )
+    assert list(forwarded(headers).items()) == [("Accept", "a"), ("accept", "b")]
+
+
+@given(
+    st.builds(
+        Call,
+        action=st.text(max_size=64),
+        kind=st.text(max_size=128),
+        service=st.text(max_size=128),
+        rank=st.integers(0, 1000),
+        deadline=st.integers(1, 80_000).map(float),
+        idempotent=st.booleans(),
+        allowance=st.integers(0, 1000),
+        crashes=st.integers(0, 1000),
+        key=st.none() | st.text(max_size=255),
+    )
+)
+@settings(max_examples=100, derandomize=True)
+def test_call_survives_its_header(call: Call) -> None:
+    assert decode_call(encode_call(call, 0.0), 0.0) == call
+
+
+@given(st.text(max_size=200))
+@settings(max_examples=100, derandomize=True)
+def test_any_text_as_a_call_is_refused(text: str) -> None:
+    assert isinstance(decode_call(text, 0.0), Refusal)
+    assert decode_report(text) is None
+
+
+def test_report_survives_its_header() -> None:
+    report = LoadReport(3, 50, 0.0125, 2, 1, 7, leaving=True)
+    assert decode_report(encode_report(report)) == report
+
+
+@pytest.mark.parametrize("target", ["*", "@10.0.0.1/", "http://10.0.0.1/a", ""])
+def test_target_that_is_not_a_path_is_refused(target: str) -> None:
+    shape = request_shape("GET", target, {}, from_backend=False)
+    assert isinstance(shape, Refusal)
+
+
+def test_path_is_matched_without_query_and_escapes() -> None:
+    shape = request_shape("GET", "/a%20b?c=/d", {}, from_backend=False)
+    assert isinstance(shape, RequestShape)
+    assert shape.path == "/a b"
+
+
+def test_node_knows_requests_that_passed_it() -> None:
+    headers = CIMultiDict({"Via": "1.1 proxy"})
+    assert not passed(headers, NODE)
+    with_via(headers, NODE)
+    with_via(headers, Address("10.0.0.2", 80))
+    assert passed(headers, NODE)
+    assert not passed(headers, Address("10.0.0.1", 8080))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "shed"),
+    [
+        (503, {"Masticspoke-Ran": "no"}, True),
+        (503, {}, False),
+        (503, {"Masticspoke-Ran": "unknown"}, False),
+        (200, {"Masticspoke-Ran": "no"}, False),
+    ],
+)
+def test_only_a_server_that_says_so_did_not_run_it(
+    status: int, headers: dict[str, str], shed: bool
+) -> None:
+    assert shed_by_backend(status, headers) is shed
--- /dev/null
+++ b/testing/live/test_hostile_input.py
@@ -0,0 +1,186 @@
+"""Broken and hostile requests: each is refused, and the node serves the others."""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+from collections.abc import Iterator
+
+import pytest
+from testing.live.fleet import Fleet
+from testing.live.fleet import http
+from testing.live.fleet import ROOT
+from testing.live.fleet import Server
+
+CATALOGUE = ROOT / "examples" / "kerala-south.ini"
+GET = b"GET /inspections/1 HTTP/1.1\r\nHost: x\r\n"
+POST = b"POST /bookings HTTP/1.1\r\nHost: x\r\n"
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    with Fleet(tmp_path_factory.mktemp("hostile")) as started:
+        started.add("a", "inspect-desk", "kochi-a")
+        started.add("b", "tooling-desk", "kochi-a")
+        started.apply(CATALOGUE)
+        started.wait_ready()
+        yield started
+
+
+@pytest.fixture
+def front(fleet: Fleet) -> Iterator[Server]:
+    server = fleet.servers[0]
+    yield server
+    for node in fleet.servers:
+        assert node.node is not None
+        assert node.node.poll() is None
+        assert http("GET", f"{node.url}/inspections/1")[0] == 200
+        assert http("POST", f"{node.url}/bookings", b"{}")[0] == 200
+
+
+def exchange(port: int, *parts: bytes, timeout_s: float = 10.0) -> bytes:
+    """Return the node's first answer."""
+    answer = b""
+    with socket.create_connection(("127.0.0.1", port), timeout=timeout_s) as client:
+        for part in parts:
+            client.sendall(part)
+        try:
+            while not is_whole(answer) and (chunk := client.recv(65_536)):
+                answer += chunk
+        except ConnectionResetError:
+            pass
+    return answer
+
+
+def is_whole(answer: bytes) -> bool:
+    head, end, body = answer.partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    return bool(end) and length is not None and len(body) >= int(length[1])
+
+
+def problem(answer: bytes) -> tuple[int, str, str]:
+    head, _, body = answer.partition(b"\r\n\r\n")
+    found = json.loads(body)
+    return int(head.split()[1]), found["reason"], found["ran"]
+
+
+def test_half_a_head_holds_up_no_one(front: Server) -> None:
+    with socket.create_connection(("127.0.0.1", front.client_port)) as client:
+        client.sendall(GET)
+        assert http("GET", f"{front.url}/inspections/1")[0] == 200
+
+
+def test_half_a_body_is_refused_at_the_deadline_as_not_run(front: Server) -> None:
+    head = POST + b"Masticspoke-Deadline-Ms: 200\r\nContent-Length: 100\r\n\r\n"
+    answer = exchange(front.client_port, head, b"only this")
+    assert problem(answer) == (504, "deadline-passed", "no")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(GET + b"X: y\r\n" * 100_000 + b"\r\n", id="100,000 headers"),
+        pytest.param(GET + b"X: " + b"y" * 100_000 + b"\r\n\r\n", id="long header"),
+        pytest.param(
+            POST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            id="length and chunks",
+        ),
+        pytest.param(
+            POST + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            id="two lengths",
+        ),
+        pytest.param(POST + b"Content-Length: -1\r\n\r\n", id="negative length"),
+        pytest.param(
+            POST + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", id="odd coding"
+        ),
+        pytest.param(b"GET /a b HTTP/1.1\r\nHost: x\r\n\r\n", id="space in the path"),
+        pytest.param(b"GET @10.0.0.1/ HTTP/1.1\r\nHost: x\r\n\r\n", id="no path"),
+        pytest.param(b"\x16\x03\x01\x02\x00garbage\r\n\r\n", id="not HTTP"),
+        pytest.param(
+            b"GET http://10.0.0.1/inspections/1 HTTP/1.1\r\nHost: x\r\n\r\n",
+            id="another server's URL",
+        ),
+    ],
+)
+def test_malformed_request_is_refused(front: Server, head: bytes) -> None:
+    answer = exchange(front.client_port, head)
+    assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.0 400")), answer[:200]
+
+
+def test_body_longer_than_its_length_is_refused(front: Server) -> None:
+    head = POST + b"Content-Length: 2\r\n\r\n"
+    answer = exchange(front.client_port, head + b"{}surplus\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.0 400")
+
+
+def test_chunked_garbage_is_refused_and_suspects_no_one(front: Server) -> None:
+    head = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+    for _ in range(3):
+        answer = exchange(front.client_port, head, b"5\r\nabcde\r\n", b"zz\r\ngarbage")
+        assert b" 400 " in answer.partition(b"\r\n")[0], answer[:300]
+
+
+@pytest.mark.parametrize(
+    "value", ["-5", "0", "abc", "1e9", "99999999999999999999", "1.5", "²", " "]
+)
+def test_absurd_deadline_is_refused(front: Server, value: str) -> None:
+    field = f"Masticspoke-Deadline-Ms: {value}\r\n\r\n".encode()
+    answer = exchange(front.client_port, GET + field)
+    assert problem(answer) == (400, "malformed", "no")
+
+
+def test_unknown_kind_is_refused(front: Server) -> None:
+    answer = exchange(front.client_port, b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert problem(answer) == (404, "unknown-kind", "no")
+
+
+def test_request_that_comes_back_to_its_node_is_a_loop(front: Server) -> None:
+    via = f"Via: 1.1 proxy, 1.1 127.0.0.1:{front.peer_port}\r\n\r\n".encode()
+    assert problem(exchange(front.client_port, GET + via)) == (508, "loop", "no")
+
+
+@pytest.mark.parametrize("path", ["backend", "gossip", "suspects", "probe"])
+def test_ten_megabytes_of_json_are_not_read(front: Server, path: str) -> None:
+    body = b"[" + b"1," * 5_000_000 + b"1]"
+    port = front.backend_port if path == "backend" else front.peer_port
+    method = "PUT" if path == "backend" else "POST"
+    head = f"{method} /.masticspoke/{path} HTTP/1.1\r\nHost: x\r\n"
+    length = f"Content-Length: {len(body)}\r\n\r\n"
+    answer = exchange(port, (head + length).encode(), body)
+    assert problem(answer) == (400, "malformed", "no")
+    chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    answer = exchange(
+        port, (head + "Transfer-Encoding: chunked\r\n\r\n").encode(), chunk
+    )
+    assert problem(answer) == (400, "malformed", "no")
+
+
+@pytest.mark.parametrize("call", ["", "{}", '{"a": 1}', "[" * 5000, '{"d": -1}'])
+def test_malformed_call_on_the_peer_port_is_refused(front: Server, call: str) -> None:
+    field = f"Masticspoke-Call: {call}\r\n\r\n".encode()
+    answer = exchange(front.peer_port, GET + field)
+    assert problem(answer) == (400, "malformed", "no")
+
+
+def test_announcement_of_an_unknown_service_gets_no_work(
+    fleet: Fleet, front: Server
+) -> None:
+    stranger = fleet.add("stranger", "no-such-service", "kochi-b")
+    fleet.wait_ready()
+    assert stranger.runs() == {}
+    assert http("GET", f"{stranger.url}/inspections/1")[0] == 200
+
+
+def test_client_and_backend_server_put_in_no_header_of_the_system(
+    front: Server,
+) -> None:
+    fields = b"".join(
+        b"Masticspoke-%s: 1\r\n" % name
+        for name in (b"Call", b"Report", b"Refused", b"Ran", b"Anything")
+    )
+    answer = exchange(front.client_port, GET + fields + b"Connection: close\r\n\r\n")
+    head, _, body = answer.partition(b"\r\n\r\n")
+    seen = {n for n in json.loads(body)["headers"] if n.startswith("Masticspoke-")}
+    assert seen == {"Masticspoke-Deadline-Ms"}
+    assert b"Masticspoke" not in head
--- a/testing/live/test_whole_answers.py
+++ b/testing/live/test_whole_answers.py
@@ -3,6 +3,7 @@
 import http.client
 import socket
 import time
+import urllib.error
 from pathlib import Path
 
 import pytest
@@ -12,6 +13,7 @@
 from testing.live.fleet import Server
 from testing.live.fleet import wait_until
 
+BROKEN = (http.client.IncompleteRead, ConnectionError, urllib.error.URLError)
 CATALOGUE = ROOT / "examples" / "kerala-south.ini"
 MIB = 2**20
 
@@ -50,15 +52,16 @@
     with Fleet(tmp_path) as fleet:
         front = start(fleet, auditors=2)
         url = f"{front.url}/archives/1?size={4 * MIB}&die_at={MIB}&chunk_ms=1{query}"
-        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        with pytest.raises(BROKEN):
             send("GET", url)
+        assert send("GET", f"{front.url}/batches/1")[0] == 200
 
 
 def test_deadline_covers_the_whole_answer(tmp_path: Path) -> None:
     with Fleet(tmp_path) as fleet:
         front = start(fleet, auditors=1)
         url = f"{front.url}/archives/1?size={64 * MIB}&chunk_ms=20"
-        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        with pytest.raises(BROKEN):
             send("GET", url, headers={"Masticspoke-Deadline-Ms": "500"})
         wait_until(lambda: idle(fleet.servers[1]), 5, "the backend server stops")
 
--- a/testing/standins/backend_server.py
+++ b/testing/standins/backend_server.py
@@ -120,6 +120,7 @@
                 "key": key,
                 "echo": request.query.get("echo", ""),
                 "length": len(body),
+                "headers": dict(request.headers),
                 "child": json.loads(child) if child else None,
             }
         )
