--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 pytest: .venv/.installed
 	$(BIN)/python -m pytest
 
+bench: .venv/.installed
+	$(BIN)/python -m bench.overload
+
 capacity: .venv/.installed
 	$(BIN)/python -m bench.capacity
 
--- a/src/_masticspoke/decisions/occupancy.py
+++ b/src/_masticspoke/decisions/occupancy.py
@@ -23,8 +23,8 @@
 from _masticspoke.model import Call
 
 ALL_RANKS = 1_000
-_WAIT_SHARE = 0.1
-_MIN_LANE_CALLS = 2
+_WAIT_SHARE = 0.05
+_MIN_LANE_CALLS = 4
 _RETURN_S = 0.1
 _DEMAND_WINDOW_S = 30.0
 _LEVEL_HOLD_S = 0.25
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -149,10 +149,17 @@
     started = port.clock()
     request.account.wait_began(started)
     end = RunEnd.LEFT
+    head_s: float | None = None
+
+    async def answered(upstream: aiohttp.ClientResponse, report: LoadReport) -> Answer:
+        nonlocal head_s
+        head_s = port.clock() - started
+        return await deliver(upstream, report)
+
     port.runs.tell(RunStarted(admitted.trace, call))
     try:
         async with asyncio.timeout(call.deadline - started):
-            answer = await _exchange(port, call, admitted, request, deliver)
+            answer = await _exchange(port, call, admitted, request, answered)
             end = _end_of(answer)
             return answer
     except TimeoutError:
@@ -164,7 +171,7 @@
         request.account.wait_ended(ended)
         port.suspects.tell(RequestEnded(admitted.trace, end))
         crashed = end is RunEnd.NOT_RUN
-        port.gate.tell(Finished(admitted.ticket, ended - started, crashed))
+        port.gate.tell(Finished(admitted.ticket, ended - started, crashed, head_s))
 
 
 async def _exchange(
