--- a/testing/live/test_control.py
+++ b/testing/live/test_control.py
@@ -186,3 +186,22 @@
             "catalogue", "show", "--log", f"127.0.0.1:{fleet.log_port}"
         )
         assert shown.stdout.startswith("# version 3,")
+
+
+def test_backend_server_that_stops_renewing_lapses_and_comes_back(
+    tmp_path: Path,
+) -> None:
+    with Fleet(tmp_path) as fleet:
+        first = fleet.add("a", "inspect-desk", "kochi-a")
+        silent = fleet.add("b", "batch-board", "kochi-b", ttl_ms=600)
+        fleet.apply(CATALOGUE)
+        fleet.wait_ready()
+        fleet.log_faults(down=True)
+        assert silent.backend is not None
+
+        silent.backend.send_signal(signal.SIGSTOP)
+        wait_until(lambda: services(first) == ["inspect-desk"], 10, "left out")
+        assert logged(tmp_path, "b", "E3003") == 1
+        silent.backend.send_signal(signal.SIGCONT)
+
+        wait_until(lambda: len(services(first)) == 2, 10, "takes work again")
