--- a/src/_masticspoke/decisions/hints.py
+++ b/src/_masticspoke/decisions/hints.py
@@ -17,7 +17,7 @@
 from _masticspoke.model import Member
 
 MAX_ENDED_HINTS = 4_000
-MAX_NEWS = 8
+MAX_NEWS = 6
 TELLINGS = 12
 
 
