Test the keeper's task over its mailbox

When a catalogue is acted on, what survives a crash, the order of views and records, what waits for a silent log, announcements during a stop.

--- /dev/null
+++ b/testing/control/test_keeper.py
@@ -0,0 +1,181 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from _masticspoke.border.records import CATALOGUE_STREAM
+from _masticspoke.border.records import encode_record
+from _masticspoke.border.records import MEMBERS_STREAM
+from _masticspoke.control.keeper import keeper
+from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.knowledge import KeeperState
+from _masticspoke.control.knowledge import Published
+from _masticspoke.decisions.catalogue import CatalogueState
+from _masticspoke.decisions.catalogue import Change
+from _masticspoke.decisions.members import Joined
+from _masticspoke.decisions.own_backend import OwnBackend
+from _masticspoke.decisions.snapshots import SnapshotPolicy
+from _masticspoke.messages import Announce
+from _masticspoke.messages import AppendRecord
+from _masticspoke.messages import AskPosition
+from _masticspoke.messages import CatalogueChanged
+from _masticspoke.messages import LogHealth
+from _masticspoke.messages import LogRecord
+from _masticspoke.messages import LogRecords
+from _masticspoke.messages import MembersChanged
+from _masticspoke.messages import NodeStopping
+from _masticspoke.messages import PeerNews
+from _masticspoke.messages import PeersAsked
+from _masticspoke.messages import ViewsChanged
+from _masticspoke.model import Address
+from _masticspoke.model import Catalogue
+from _masticspoke.model import Member
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.ask import ask
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+
+NODE = Address("127.0.0.1", 1)
+OTHER = Address("127.0.0.1", 2)
+INCARNATION = "0123456789ab-cd-0000"
+
+
+class Running:
+    """A keeper's task, and all that it published and appended."""
+
+    def __init__(self) -> None:
+        self.published: list[Published] = []
+        self.inbox: Mailbox[KeeperMessage] = Mailbox(100)
+        self.writer: Mailbox[AppendRecord] = Mailbox(100)
+        self.now = 0.0
+        self.state = KeeperState(
+            self.writer,
+            self.published.append,
+            OwnBackend(NODE, INCARNATION),
+            SnapshotPolicy(records=1_000, interval_s=600.0),
+        )
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        body = keeper(self.inbox, self.state, lambda: self.now)
+        self.task = asyncio.ensure_future(body(Lifecycle()))
+
+    async def tell(self, *messages: KeeperMessage) -> None:
+        for message in messages:
+            self.inbox.tell(message)
+        reply: Reply[int] = Reply()
+        await ask(self.inbox, AskPosition(MEMBERS_STREAM, reply), reply)
+
+    def versions(self) -> list[int]:
+        found = [m for m in self.published if isinstance(m, CatalogueChanged)]
+        return [m.catalogue.version for m in found]
+
+
+def run(scenario: Callable[[Running], Awaitable[None]]) -> Running:
+    async def main() -> Running:
+        running = Running()
+        running.start()
+        await scenario(running)
+        assert running.task is not None
+        running.task.cancel()
+        return running
+
+    return asyncio.run(main())
+
+
+def change(offset: int) -> LogRecord:
+    data = encode_record(Change(f"id-{offset}", offset, Catalogue()))
+    return LogRecord(CATALOGUE_STREAM, offset, data)
+
+
+def read(stream: str, *records: LogRecord, at_end: bool = False) -> LogRecords:
+    return LogRecords(stream, records, 0, at_end)
+
+
+def state_of(version: int) -> CatalogueState:
+    return CatalogueState(Catalogue(version), f"id-{version - 1}", version - 1)
+
+
+def test_catalogue_is_acted_on_only_at_the_end_of_the_log() -> None:
+    async def scenario(running: Running) -> None:
+        await running.tell(read(CATALOGUE_STREAM, change(0), change(1)))
+        await running.tell(read(CATALOGUE_STREAM, change(2)))
+        assert running.versions() == []
+        await running.tell(read(CATALOGUE_STREAM, at_end=True))
+
+    assert run(scenario).versions() == [3]
+
+
+def test_without_the_log_peers_must_have_been_asked() -> None:
+    async def scenario(running: Running) -> None:
+        await running.tell(PeerNews(catalogue=state_of(4)), PeersAsked())
+        assert running.versions() == []
+        await running.tell(LogHealth("catalogue-reader", "no answer"))
+        await running.tell(PeerNews(catalogue=state_of(3)))
+
+    assert run(scenario).versions() == [4]
+
+
+def test_version_survives_a_crash_of_the_task() -> None:
+    async def scenario(running: Running) -> None:
+        await running.tell(read(CATALOGUE_STREAM, change(0), change(1)))
+        await running.tell(read(CATALOGUE_STREAM, at_end=True))
+        assert running.task is not None
+        running.task.cancel()
+        running.start()
+        reply: Reply[int] = Reply()
+        question = AskPosition(CATALOGUE_STREAM, reply)
+        assert await ask(running.inbox, question, reply) == 2
+        await running.tell(PeerNews(catalogue=state_of(1)))
+
+    assert run(scenario).versions() == [2]
+
+
+def test_views_are_published_before_the_records_that_made_them() -> None:
+    member = Member("dennik", OTHER, OTHER, "sk-central-a", INCARNATION, 60, 440)
+    record = LogRecord(MEMBERS_STREAM, 0, encode_record(Joined(member)))
+    claim = LogRecord(MEMBERS_STREAM, 1, b'{"type": "unknown to the keeper"}')
+
+    async def scenario(running: Running) -> None:
+        await running.tell(read(MEMBERS_STREAM, record, claim))
+
+    published = run(scenario).published
+    views, records, members = published
+    assert isinstance(views, ViewsChanged)
+    assert views.read_through == 1
+    assert [(v.number, v.offset, v.members) for v in views.views] == [(1, 0, (member,))]
+    assert isinstance(records, LogRecords)
+    assert records.records == (record, claim)
+    assert members == MembersChanged((member,))
+
+
+def test_nothing_waits_for_a_log_that_does_not_answer() -> None:
+    member = Member("dennik", NODE, NODE, "sk-central-a", "", 60, 440)
+
+    async def scenario(running: Running) -> None:
+        await running.tell(LogHealth("members-reader", "no answer"))
+        await running.tell(Announce(member, 1_000.0, Reply()))
+        for _ in range(50):
+            running.now += 10.0
+            await running.tell()
+        assert running.writer.depth == 0
+        await running.tell(LogHealth("members-reader"))
+        assert running.writer.depth == 1
+
+    run(scenario)
+
+
+def test_stopping_node_takes_no_announcement() -> None:
+    member = Member("dennik", NODE, NODE, "sk-central-a", "", 60, 440)
+
+    async def scenario(running: Running) -> None:
+        reply: Reply[Refusal | None] = Reply()
+        await running.tell(NodeStopping(), Announce(member, 3.0, reply))
+        refusal = await reply.value()
+        assert refusal is not None
+        assert refusal.reason is Reason.STOPPING
+
+    assert run(scenario).state.own.member is None
