--- a/src/_masticspoke/border/settings.py
+++ b/src/_masticspoke/border/settings.py
@@ -83,7 +83,7 @@
     key_lifetime_s: float = Field(default=86_400.0, gt=0)
     answer_ttl_s: float = Field(default=600.0, gt=0)
     answers_bytes: int = Field(default=8_000_000, ge=0)
-    max_keys: int = Field(default=100_000, gt=0)
+    max_keys: int = Field(default=50_000, gt=0)
 
     def limits(self) -> OnceLimits:
         """Return them as the decisions take them, in seconds."""
--- a/src/_masticspoke/decisions/once/keys.py
+++ b/src/_masticspoke/decisions/once/keys.py
@@ -61,7 +61,7 @@
     if result is not None:
         return [Reply(event.ticket, result)]
     key = Key(event.service, event.digest, event.fingerprint, now, changed_at=now)
-    key.tickets.append(event.ticket)
+    key.tickets += (event.ticket,)
     state.keys[event.digest] = state.waiting[event.digest] = key
     return progress(state, key, now)
 
@@ -79,12 +79,12 @@
 
 
 def _wait(state: OnceState, key: Key, ticket: int, now: float) -> list[OnceEffect]:
-    key.tickets.append(ticket)
+    key.tickets += (ticket,)
     return progress(state, key, now)
 
 
 def _run_again(state: OnceState, key: Key, ticket: int, now: float) -> list[OnceEffect]:
-    key.tickets.append(ticket)
+    key.tickets += (ticket,)
     return grant(state, key, now)
 
 
@@ -135,6 +135,7 @@
 def grant(state: OnceState, key: Key, now: float) -> list[OnceEffect]:
     """Run a key for its first asker; without one the right is held."""
     key.changed_at = now
+    key.confirmed = frozenset()
     state.waiting.pop(key.digest, None)
     if not key.tickets:
         key.phase = Phase.REFUSED
@@ -153,7 +154,7 @@
 
 def _claim_anew(state: OnceState, key: Key, view: int) -> None:
     key.view = view
-    key.confirmed = {state.me}
+    key.confirmed = frozenset({state.me})
     key.claim_sent_at = key.asked_at = NEVER
 
 
@@ -189,7 +190,7 @@
         return []
     if not _is_current(state, ledger, key, event):
         return []
-    key.confirmed.add(event.member)
+    key.confirmed |= {event.member}
     if len(key.confirmed) < state.rules.majority(len(ledger.view.members)):
         return []
     return grant(state, key, now)
@@ -222,7 +223,7 @@
     """Forget an asker; a run that has begun goes on."""
     key = state.waiting.get(event.digest)
     if key is not None and event.ticket in key.tickets:
-        key.tickets.remove(event.ticket)
+        key.tickets = tuple(t for t in key.tickets if t != event.ticket)
     return []
 
 
--- a/src/_masticspoke/decisions/once/model.py
+++ b/src/_masticspoke/decisions/once/model.py
@@ -253,7 +253,7 @@
     key_lifetime_s: float = 86_400.0
     answer_ttl_s: float = 600.0
     answers_bytes: int = 8_000_000
-    max_keys: int = 100_000
+    max_keys: int = 50_000
     forget_every_s: float = 60.0
 
 
--- a/src/_masticspoke/decisions/once/state.py
+++ b/src/_masticspoke/decisions/once/state.py
@@ -54,9 +54,9 @@
     fingerprint: int
     since: float
     phase: Phase = Phase.WAITING
-    tickets: list[int] = field(default_factory=list)
+    tickets: tuple[int, ...] = ()
     view: int = 0
-    confirmed: set[Identity] = field(default_factory=set)
+    confirmed: frozenset[Identity] = frozenset()
     claim_sent_at: float = NEVER
     asked_at: float = NEVER
     changed_at: float = NEVER
@@ -129,7 +129,7 @@
 
 def reply_all(key: Key, result: Result) -> list[OnceEffect]:
     """Answer all that wait for a key."""
-    tickets, key.tickets = key.tickets, []
+    tickets, key.tickets = key.tickets, ()
     return replies(tickets, result)
 
 
