--- a/testing/live/test_at_most_once.py
+++ b/testing/live/test_at_most_once.py
@@ -19,6 +19,7 @@
 from testing.live.fleet import wait_until
 from testing.matching import assert_that
 from testtools.matchers import Equals
+from testtools.matchers import HasLength
 
 from _masticspoke.decisions.once.placement import home_of
 from _masticspoke.decisions.once.placement import key_digest
@@ -268,3 +269,20 @@
         assert_that(bookings.broken_promises(fleet.servers), Equals([]))
         served = [a for answers in bookings.answers.values() for a in answers]
         assert sum(a.code == 200 for a in served) > len(served) // 2
+
+
+@pytest.mark.parametrize("key", ["", "k0"])
+def test_a_booking_that_may_have_run_is_not_tried_again(
+    tmp_path: Path, key: str
+) -> None:
+    with fleet_of(tmp_path) as fleet:
+        url = f"{fleet.servers[0].url}/bookings?crash=1"
+        headers = {"Idempotency-Key": key} if key else {}
+
+        answers = [http("POST", url, b"{}", headers) for _ in range(2 if key else 1)]
+
+        for code, body in answers:
+            assert code != 200
+            assert json.loads(body)["ran"] == "unknown"
+        crashed = [s for s in fleet.servers if s.backend and s.backend.poll() == 9]
+        assert_that(crashed, HasLength(1))
