--- a/src/_masticspoke/decisions/admission.py
+++ b/src/_masticspoke/decisions/admission.py
@@ -20,6 +20,7 @@
 from _masticspoke.decisions.lanes import pop_expired
 from _masticspoke.decisions.lanes import push
 from _masticspoke.decisions.lanes import remove
+from _masticspoke.decisions.limit import forget_kinds
 from _masticspoke.decisions.limit import observe
 from _masticspoke.decisions.occupancy import AdmissionState
 from _masticspoke.decisions.occupancy import admitted_rank
@@ -38,7 +39,9 @@
 from _masticspoke.decisions.pace import Mean
 from _masticspoke.decisions.pace import per_second
 from _masticspoke.decisions.pace import Rate
+from _masticspoke.decisions.shares import shares_of
 from _masticspoke.model import Call
+from _masticspoke.model import Catalogue
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 
@@ -116,6 +119,19 @@
     return [t for t, run in state.running.items() if run.call.deadline < last]
 
 
+def catalogue_changed(state: AdmissionState, catalogue: Catalogue) -> None:
+    """Take over the shares, and forget what was learnt of kinds that are gone."""
+    state.shares = shares_of(catalogue)
+    known = {entry.kind for entry in catalogue.entries}
+    known.update(kind for kind, held in state.running_of_kind.items() if held)
+    state.starts = {k: v for k, v in state.starts.items() if k.kind in known}
+    state.holds = {k: v for k, v in state.holds.items() if k in known}
+    kinds, entries = state.running_of_kind, state.running_of_entry
+    state.running_of_kind = {k: n for k, n in kinds.items() if k in known}
+    state.running_of_entry = {e: n for e, n in entries.items() if e[1] in known}
+    forget_kinds(state.limit, known)
+
+
 def refuse_all(state: AdmissionState, reason: Reason) -> tuple[Effect, ...]:
     """Refuse all queued calls."""
     tickets = list(state.waiting.keys)
--- a/src/_masticspoke/decisions/limit.py
+++ b/src/_masticspoke/decisions/limit.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from dataclasses import field
 from typing import final
@@ -77,6 +78,11 @@
     state.value = min(state.value, float(slots))
 
 
+def forget_kinds(state: LimitState, known: Collection[str]) -> None:
+    """Drop what was learnt of kinds that are not known any more."""
+    state.usual_s = {k: v for k, v in state.usual_s.items() if k in known}
+
+
 def observe(
     state: LimitState, kind: str, latency_s: float, running: int, now: float
 ) -> None:
--- a/src/_masticspoke/decisions/occupancy.py
+++ b/src/_masticspoke/decisions/occupancy.py
@@ -24,7 +24,9 @@
 
 ALL_RANKS = 1_000
 _WAIT_SHARE = 0.05
-_MIN_LANE_CALLS = 4
+_MIN_LANE_CALLS = 2
+_SHORT_LANE_CALLS = 4
+_SHORT_LANE_WAIT_SHARE = 0.2
 _RETURN_S = 0.1
 _DEMAND_WINDOW_S = 30.0
 _LEVEL_HOLD_S = 0.25
@@ -85,15 +87,18 @@
 
 
 def hold_s(state: AdmissionState, kind: str) -> float:
+    """Return how long a run of a kind holds its slot of late, in seconds."""
     mean = state.holds.get(kind)
     return mean.value_s if mean is not None else 0.0
 
 
 def latest_start(state: AdmissionState, call: Call) -> float:
+    """Return when a call must start to be answered by its deadline."""
     return call.deadline - hold_s(state, call.kind)
 
 
 def is_full_for(state: AdmissionState, rank: int, now: float) -> bool:
+    """Return whether no place in the queue is left that others do not keep."""
     kept = unused_floors(
         _demanded(state, now),
         state.waiting.by_rank,
@@ -121,6 +126,7 @@
 def start_order(
     state: AdmissionState, key: LaneKey
 ) -> tuple[bool, bool, int, bool, bool, int, int]:
+    """Return the sort key of a lane that is not empty; the least starts next."""
     return (
         not _class_below_floor(state, key.rank),
         key.shed_early,
@@ -149,6 +155,7 @@
 
 
 def may_run(state: AdmissionState, key: LaneKey, now: float) -> bool:
+    """Return whether a call of a lane may take a slot now."""
     limit = state.limit.limit
     free = limit - len(state.running)
     if free <= 0 or is_capped(state, key.kind):
@@ -172,6 +179,7 @@
 
 
 def is_capped(state: AdmissionState, kind: str) -> bool:
+    """Return whether a kind holds all that its entry allows."""
     cap = cap_of(state.shares, kind, state.limit.limit)
     return cap is not None and state.running_of_kind.get(kind, 0) >= cap
 
@@ -179,10 +187,15 @@
 def lane_allowance(
     state: AdmissionState, key: LaneKey, call: Call, now: float
 ) -> float:
-    """Return the calls that may wait in a lane so that this one starts soon."""
-    wait_s = call.deadline - now - hold_s(state, call.kind)
-    if key.shed_early:
-        wait_s = min(wait_s, _WAIT_SHARE * (call.deadline - now))
+    """Return the calls that may wait in a lane so that this one starts soon.
+
+    A lane whose calls start seldom may hold a few more, lest it runs dry (issue 4).
+    """
     rate = state.starts.get(key)
     pace = per_second(rate, now) if rate is not None else 0.0
-    return max(_MIN_LANE_CALLS, wait_s * pace)
+    remaining_s = call.deadline - now
+    wait_s = remaining_s - hold_s(state, call.kind)
+    if key.shed_early:
+        wait_s = min(wait_s, _WAIT_SHARE * remaining_s)
+    few = min(_SHORT_LANE_CALLS, _SHORT_LANE_WAIT_SHARE * remaining_s * pace)
+    return max(_MIN_LANE_CALLS, few, wait_s * pace)
--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -28,7 +28,6 @@
 from _masticspoke.decisions.loops import RunningRequests
 from _masticspoke.decisions.occupancy import AdmissionState
 from _masticspoke.decisions.occupancy import admitted_rank
-from _masticspoke.decisions.shares import shares_of
 from _masticspoke.messages import Admit
 from _masticspoke.messages import Admitted
 from _masticspoke.messages import BackendAnnounced
@@ -167,7 +166,7 @@
     state: _GateState, message: CatalogueChanged, now: float
 ) -> None:
     state.catalogue_version = message.catalogue.version
-    state.admission.shares = shares_of(message.catalogue)
+    admission.catalogue_changed(state.admission, message.catalogue)
 
 
 def _tick(state: _GateState, now: float) -> None:
