Learn latency to the head, from callers that give up, and tell re-sends apart

Cause: found by reading what was landed. - The guard was told the length of the whole run, so a ten-minute download counted as latency; Finished has had a place for the head's time since the guard's work. - A straggler whose callers give up before the deadline was never learnt of. - A second child request with another body, to the same path under one parent, was taken for a re-send of the first and could be refused as retries-spent. - Refusals such as busy-elsewhere counted as failures by omission; the router now lists the reasons that do.

Proof: tests for each but the last; that for the re-sends failed before with allowance 0 (second request refused), that for callers that give up had no function to call.

--- a/src/_masticspoke/decisions/allowance.py
+++ b/src/_masticspoke/decisions/allowance.py
@@ -65,7 +65,7 @@
         ledger.by_trace_id.pop(trace.trace_id, None)
 
 
-def lend(ledger: Ledger, trace: Trace, request: int) -> Loan | Refusal | None:
+def lend(ledger: Ledger, trace: Trace, request: int | None) -> Loan | Refusal | None:
     """Lend half of what the parent of a child request holds, rounded up.
 
     A backend server that sends a refused child request once more uses a retry of
@@ -73,7 +73,8 @@
 
     :param trace: from the child request; backend servers may have put a parent id
         of their own into it.
-    :param request: fingerprint of the child request.
+    :param request: names the child request among those of its parent; ``None`` if a
+        second send of it can't be told from another request.
     :return: ``None`` if no running call belongs to the trace.
     """
     owner = _owner(ledger, trace)
@@ -108,7 +109,7 @@
     if account is None:
         return
     account.left += unused
-    if refused:
+    if refused and loan.request is not None:
         account.refused.add(loan.request)
 
 
--- a/src/_masticspoke/decisions/peers.py
+++ b/src/_masticspoke/decisions/peers.py
@@ -120,10 +120,14 @@
     if peer is None:
         return
     peer.failures = 0
-    _add_sample(peer, latency_s, now)
-    peer.slow = peer.slow + 1 if _is_far_behind(peers, peer) else 0
-    if peer.slow >= SLOW_SAMPLES_TO_EJECT:
-        _eject(peers, peer, now)
+    _learn_latency(peers, peer, latency_s, now)
+
+
+def record_wait(peers: Peers, node: Address, waited_s: float, now: float) -> None:
+    """Learn from a caller that went away: the answer takes longer than it waited."""
+    peer = peers.by_node.get(node)
+    if peer is not None and waited_s > peer.latency_s:
+        _learn_latency(peers, peer, waited_s, now)
 
 
 def record_failure(peers: Peers, node: Address, now: float) -> None:
@@ -163,6 +167,13 @@
     return min(1.0, max(SLOW_START_SHARE, age_s / SLOW_START_S))
 
 
+def _learn_latency(peers: Peers, peer: Peer, latency_s: float, now: float) -> None:
+    _add_sample(peer, latency_s, now)
+    peer.slow = peer.slow + 1 if _is_far_behind(peers, peer) else 0
+    if peer.slow >= SLOW_SAMPLES_TO_EJECT:
+        _eject(peers, peer, now)
+
+
 def _add_sample(peer: Peer, latency_s: float, now: float) -> None:
     peer.samples += 1
     peer.sampled_at = now
--- a/src/_masticspoke/dispatch/router.py
+++ b/src/_masticspoke/dispatch/router.py
@@ -54,19 +54,15 @@
     | CatalogueChanged
     | MembersChanged
 )
-# A guard that refuses for one of these is not worse than the others.
-_NOT_FAILURES = frozenset(
+# Members that fail so are avoided, and ejected when it goes on.
+_FAILURES = frozenset(
     {
-        Reason.LEAVING,
-        Reason.QUEUE_FULL,
-        Reason.DISPLACED,
-        Reason.RANK_NOT_ADMITTED,
-        Reason.DEADLINE_UNMEETABLE,
-        Reason.ENTRY_LIMIT,
-        Reason.QUARANTINED,
-        Reason.BUSY,
-        Reason.LOOP,
-        Reason.MALFORMED,
+        Reason.NO_BACKEND_SERVER,
+        Reason.BACKEND_UNREACHABLE,
+        Reason.BACKEND_FAILED,
+        Reason.BACKEND_SHED,
+        Reason.NODE_UNREACHABLE,
+        Reason.NODE_FAILED,
     }
 )
 
@@ -149,7 +145,7 @@
     peers.record_report(state.peers, node, message.report, now)
     if message.refusal.reason is Reason.DEADLINE_PASSED:
         peers.record_latency(state.peers, node, message.waited_s, now)
-    elif message.refusal.reason not in _NOT_FAILURES:
+    elif message.refusal.reason in _FAILURES:
         peers.record_failure(state.peers, node, now)
 
 
@@ -185,6 +181,7 @@
     node = message.target.member.node
     peers.record_ended(state.peers, node)
     if message.answered_at is None:
+        peers.record_wait(state.peers, node, message.latency_s, now)
         return
     peers.record_report(state.peers, node, message.report, message.answered_at)
     peers.record_latency(state.peers, node, message.latency_s, now)
--- a/src/_masticspoke/entry/clients.py
+++ b/src/_masticspoke/entry/clients.py
@@ -33,7 +33,7 @@
             shape = Refusal(Reason.LOOP, detail="the request came from this node")
         if isinstance(shape, Refusal):
             return refusal_response(shape)
-        loan = await _loan(port, shape, request.raw_path)
+        loan = await _loan(port, shape, _name(request, shape))
         if isinstance(loan, Refusal):
             return refusal_response(loan)
         answer = await conduct(port, request, shape, loan)
@@ -42,12 +42,22 @@
     return handle
 
 
+def _name(request: web.BaseRequest, shape: RequestShape) -> int | None:
+    """Return what a second send of the same request has in common with the first.
+
+    Without a key, requests with bodies can't be told apart before they are read.
+    """
+    if request.can_read_body and shape.key is None:
+        return None
+    return hash((shape.method, request.raw_path, shape.key))
+
+
 async def _loan(
-    port: DispatchPort, shape: RequestShape, target: str
+    port: DispatchPort, shape: RequestShape, name: int | None
 ) -> Loan | Refusal | None:
     if not shape.from_backend or shape.trace is None:
         return None
-    question = Lend(shape.trace, hash((shape.method, target)), Reply())
+    question = Lend(shape.trace, name, Reply())
     if port.guard.runs.tell(question) is Delivery.FULL:
         return None
     return await question.reply.value()
--- a/src/_masticspoke/guard/gate.py
+++ b/src/_masticspoke/guard/gate.py
@@ -117,8 +117,9 @@
 
 
 def _finished(state: _GateState, message: Finished, now: float) -> None:
-    state.latency_s += _SMOOTHING * (message.latency_s - state.latency_s)
     head_s = None if message.crashed else message.head_s or message.latency_s
+    if head_s is not None:
+        state.latency_s += _SMOOTHING * (head_s - state.latency_s)
     _ended(state, message.ticket, head_s, now)
 
 
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -76,6 +76,21 @@
     own: Address
 
 
+@final
+@dataclass(slots=True)
+class _Run:
+    """A call that the gate admitted.
+
+    :param head_s: time from ``started`` to the answer's head, once it is there.
+    """
+
+    call: Call
+    admitted: Admitted
+    request: Outgoing
+    started: float
+    head_s: float | None = None
+
+
 async def run_call(
     port: GuardPort, call: Call, request: Outgoing, deliver: DeliverRun
 ) -> Answer | NotAdmitted:
@@ -124,7 +139,8 @@
     if isinstance(answer, NotAdmitted):
         return _unused(answer, call)
     port.suspects.tell(RequestSent(answer.trace, number))
-    return await _run(port, call, answer, request, deliver)
+    run = _Run(call, answer, request, port.clock())
+    return await _conduct(port, run, deliver)
 
 
 def fingerprint(request: Outgoing) -> int:
@@ -142,63 +158,62 @@
     return replace(answer, report=replace(answer.report, allowance_left=call.allowance))
 
 
-async def _run(
-    port: GuardPort,
-    call: Call,
-    admitted: Admitted,
-    request: Outgoing,
-    deliver: DeliverRun,
+async def _conduct(
+    port: GuardPort, run: _Run, deliver: DeliverRun
 ) -> Answer | NotAdmitted:
-    started = port.clock()
-    request.account.wait_began(started)
+    run.request.account.wait_began(run.started)
     end = RunEnd.LEFT
-    port.runs.tell(RunStarted(admitted.trace, call))
+    port.runs.tell(RunStarted(run.admitted.trace, run.call))
     try:
-        async with asyncio.timeout(call.deadline - started):
-            answer = await _exchange(port, call, admitted, request, deliver)
+        async with asyncio.timeout(run.call.deadline - run.started):
+            answer = await _exchange(port, run, deliver)
             end = _end_of(answer)
             return answer
     except TimeoutError:
         refusal = Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN)
-        return await _settled(port, call, admitted, refusal)
+        return await _settled(port, run, refusal)
     finally:
-        port.runs.tell(RunEnded(admitted.trace))
-        ended = port.clock()
-        request.account.wait_ended(ended)
-        port.suspects.tell(RequestEnded(admitted.trace, end))
-        crashed = end is RunEnd.NOT_RUN
-        port.gate.tell(Finished(admitted.ticket, ended - started, crashed))
+        _tell_ended(port, run, end)
+
+
+def _tell_ended(port: GuardPort, run: _Run, end: RunEnd) -> None:
+    ended = port.clock()
+    run.request.account.wait_ended(ended)
+    trace = run.admitted.trace
+    port.runs.tell(RunEnded(trace))
+    port.suspects.tell(RequestEnded(trace, end))
+    crashed = end is RunEnd.NOT_RUN
+    latency_s = ended - run.started
+    port.gate.tell(Finished(run.admitted.ticket, latency_s, crashed, run.head_s))
 
 
 async def _exchange(
-    port: GuardPort,
-    call: Call,
-    admitted: Admitted,
-    request: Outgoing,
-    deliver: DeliverRun,
+    port: GuardPort, run: _Run, deliver: DeliverRun
 ) -> Answer | NotAdmitted:
+    request = run.request
     try:
         async with port.connections.session.request(
             request.method,
-            request.url(admitted.backend),
-            headers=_headers(port, call, admitted, request),
+            request.url(run.admitted.backend),
+            headers=_headers(port, run),
             data=request.body or None,
             allow_redirects=False,
         ) as upstream:
+            run.head_s = port.clock() - run.started
             request.account.wait_ended(port.clock())
             if shed_by_backend(upstream.status, upstream.headers):
                 refusal = Refusal(Reason.BACKEND_SHED)
-                return await _settled(port, call, admitted, refusal)
-            report = await _settled_report(port, call, admitted)
+                return await _settled(port, run, refusal)
+            report = await _settled_report(port, run)
             answer = await deliver(upstream, report)
         if isinstance(answer, Cut) and not answer.by_caller:
-            await _report_broken(port, admitted)
+            await _report_broken(port, run.admitted)
         return answer
     except NOT_CONNECTED as error:
         refusal = Refusal(Reason.BACKEND_UNREACHABLE, Ran.NO, detail=str(error))
     except (aiohttp.ClientError, ConnectionError) as error:
-        refusal = await _after_break(port, admitted, request, error)
-    return await _settled(port, call, admitted, refusal)
+        refusal = await _after_break(port, run, error)
+    return await _settled(port, run, refusal)
 
 
 def _end_of(answer: Answer | NotAdmitted) -> RunEnd:
@@ -207,12 +222,10 @@
     return RunEnd.NOT_RUN if isinstance(answer, NotAdmitted) else RunEnd.ANSWERED
 
 
-async def _after_break(
-    port: GuardPort, admitted: Admitted, request: Outgoing, error: Exception
-) -> Refusal:
-    if request.source.failed:
+async def _after_break(port: GuardPort, run: _Run, error: Exception) -> Refusal:
+    if run.request.source.failed:
         return Refusal(Reason.MALFORMED, Ran.UNKNOWN, detail="request body broke off")
-    await _report_broken(port, admitted)
+    await _report_broken(port, run.admitted)
     return Refusal(Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=repr(error))
 
 
@@ -234,30 +247,25 @@
     return True
 
 
-def _headers(
-    port: GuardPort, call: Call, admitted: Admitted, request: Outgoing
-) -> CIMultiDict[str]:
-    headers = CIMultiDict(request.headers)
+def _headers(port: GuardPort, run: _Run) -> CIMultiDict[str]:
+    headers = CIMultiDict(run.request.headers)
     with_via(headers, port.own)
-    headers[TRACE_HEADER] = encode_traceparent(admitted.trace)
-    remaining_ms = int((call.deadline - port.clock()) * 1000)
+    headers[TRACE_HEADER] = encode_traceparent(run.admitted.trace)
+    remaining_ms = int((run.call.deadline - port.clock()) * 1000)
     headers[DEADLINE_HEADER] = str(max(1, remaining_ms))
     return headers
 
 
-async def _settled(
-    port: GuardPort, call: Call, admitted: Admitted, refusal: Refusal
-) -> NotAdmitted:
-    return NotAdmitted(refusal, await _settled_report(port, call, admitted))
+async def _settled(port: GuardPort, run: _Run, refusal: Refusal) -> NotAdmitted:
+    return NotAdmitted(refusal, await _settled_report(port, run))
 
 
-async def _settled_report(
-    port: GuardPort, call: Call, admitted: Admitted
-) -> LoadReport:
-    if call.allowance == 0:
-        return admitted.report
-    question = Settle(admitted.trace, Reply())
+async def _settled_report(port: GuardPort, run: _Run) -> LoadReport:
+    report = run.admitted.report
+    if run.call.allowance == 0:
+        return report
+    question = Settle(run.admitted.trace, Reply())
     if port.runs.tell(question) is Delivery.FULL:
-        return admitted.report
+        return report
     left = await question.reply.value()
-    return replace(admitted.report, allowance_left=left)
+    return replace(report, allowance_left=left)
--- a/src/_masticspoke/messages.py
+++ b/src/_masticspoke/messages.py
@@ -371,11 +371,11 @@
 class Lend:
     """Entry to runs: which running call sent this request, and what may it use?
 
-    :param request: fingerprint of the child request.
+    :param request: names the child request, if a second send can be told.
     """
 
     trace: Trace
-    request: int
+    request: int | None
     reply: Reply[Loan | Refusal | None]
 
 
--- a/src/_masticspoke/model.py
+++ b/src/_masticspoke/model.py
@@ -198,13 +198,13 @@
     :param account: names the running call at its node.
     :param parent: the running call.
     :param amount: retries lent.
-    :param request: fingerprint of the child request.
+    :param request: names the child request, if a second send can be told.
     """
 
     account: Trace
     parent: Call
     amount: int
-    request: int
+    request: int | None
 
 
 @final
--- a/testing/decisions/test_allowance.py
+++ b/testing/decisions/test_allowance.py
@@ -224,6 +224,15 @@
     assert ledger.accounts[TRACE].left == 1
 
 
+def test_requests_that_cannot_be_told_apart_are_no_resends() -> None:
+    ledger = Ledger()
+    open_account(ledger, TRACE, replace(ROOT, allowance=0))
+    for _ in range(3):
+        loan = lend(ledger, TRACE, None)
+        assert isinstance(loan, Loan)
+        give_back(ledger, loan, 0, refused=True)
+
+
 def test_resent_child_request_is_refused_when_nothing_is_left() -> None:
     ledger = Ledger()
     open_account(ledger, TRACE, replace(ROOT, allowance=1))
--- a/testing/decisions/test_peers.py
+++ b/testing/decisions/test_peers.py
@@ -31,6 +31,15 @@
     assert known.share(straggler, back + known.SLOW_START_S) == 1.0
 
 
+def test_member_that_callers_give_up_on_is_ejected() -> None:
+    found = peers(1, 2, 3, 4)
+    for _ in range(known.SAMPLES_TO_EJECT):
+        known.record_wait(found, node(2), 0.5, 10.0)
+        known.record_wait(found, node(3), 0.001, 10.0)
+    assert ejected(found, 10.0) == [2]
+    assert found.by_node[node(3)].latency_s == pytest.approx(0.01)
+
+
 def test_repeated_ejection_lasts_longer() -> None:
     found = peers(1, 2, 3, 4)
     lasted = []
--- a/testing/guard/test_run.py
+++ b/testing/guard/test_run.py
@@ -184,5 +184,8 @@
             assert result.refusal.ran is Ran.NO
             assert result.report.allowance_left == 1
         assert end_of(guard) == [RunEnd.NOT_RUN if refused else RunEnd.ANSWERED]
+        (finished,) = (m for m in guard.told if isinstance(m, Finished))
+        assert finished.head_s is not None
+        assert finished.head_s <= finished.latency_s
 
     against(says(head), check)
