--- a/testing/decisions/test_peers.py
+++ b/testing/decisions/test_peers.py
@@ -68,6 +68,15 @@
     assert ejected(found, 1.0) == [3]
 
 
+@pytest.mark.parametrize("size", range(1, 13))
+def test_service_that_fails_as_a_whole_keeps_two_thirds(size: int) -> None:
+    found = peers(*range(1, size + 1))
+    for _ in range(known.FAILURES_TO_EJECT):
+        for number in range(1, size + 1):
+            known.record_failure(found, node(number), 1.0)
+    assert len(ejected(found, 1.0)) == math.floor(size / 3)
+
+
 @settings(max_examples=200, derandomize=True)
 @given(
     size=st.integers(1, 12),
