--- a/testing/docs/test_developers_page.py
+++ b/testing/docs/test_developers_page.py
@@ -9,7 +9,7 @@
     ("The shape", "452b292b82e4c93865be00531abb35f05c0a3bd82938b99ce963df51eb9ffdd1"),
     (
         "The size to design for",
-        "2b7f46f9358e4f0eb51b3cc616de50afd3a8112bdb4b8458d74b40cb9d10416f",
+        "86688cfced4d326360558de33536fc29545403095730799cd57b476cba94f95f",
     ),
 )
 
