--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,7 +31,7 @@
 from _masticspoke.decisions.hints import merge
 from _masticspoke.decisions.members import Joined
 from _masticspoke.decisions.members import Left
-from _masticspoke.messages import Digest
+from _masticspoke.messages.control import Digest
 from _masticspoke.model import Address
 from _masticspoke.model import Catalogue
 from _masticspoke.model import ClassSpec
--- a/bench/control.py
+++ b/bench/control.py
@@ -28,7 +28,7 @@
 from _masticspoke.decisions.members import reduce_membership
 from _masticspoke.decisions.replay import Snapshot
 from _masticspoke.exchange import Connections
-from _masticspoke.messages import Digest
+from _masticspoke.messages.control import Digest
 from _masticspoke.model import Member
 from bench.capacity import member
 
--- a/src/_masticspoke/border/gossip.py
+++ b/src/_masticspoke/border/gossip.py
@@ -15,7 +15,7 @@
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.catalogue import is_consistent
 from _masticspoke.decisions.hints import Hint
-from _masticspoke.messages import Digest
+from _masticspoke.messages.control import Digest
 from _masticspoke.model import Address
 from _masticspoke.model import Member
 
--- a/src/_masticspoke/border/status.py
+++ b/src/_masticspoke/border/status.py
@@ -7,7 +7,7 @@
 from pydantic import ValidationError
 
 from _masticspoke.border.fields import BorderModel
-from _masticspoke.messages import NodeStatus
+from _masticspoke.messages.control import NodeStatus
 
 
 @final
--- a/src/_masticspoke/cli/node_access.py
+++ b/src/_masticspoke/cli/node_access.py
@@ -13,7 +13,7 @@
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.errors import NodeUnavailableError
 from _masticspoke.exchange import Connections
-from _masticspoke.messages import NodeStatus
+from _masticspoke.messages.control import NodeStatus
 from _masticspoke.model import Address
 
 TIMEOUT_S = 5.0
--- a/src/_masticspoke/cli/status.py
+++ b/src/_masticspoke/cli/status.py
@@ -12,7 +12,7 @@
 from _masticspoke.cli.node_access import ask_fleet
 from _masticspoke.control.peer_client import PeerFault
 from _masticspoke.errors import NodeUnavailableError
-from _masticspoke.messages import NodeStatus
+from _masticspoke.messages.control import NodeStatus
 from _masticspoke.model import Address
 
 
--- a/src/_masticspoke/control/departure.py
+++ b/src/_masticspoke/control/departure.py
@@ -7,7 +7,7 @@
 from _masticspoke.control.keeper import KeeperMessage
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
-from _masticspoke.messages import NodeStopping
+from _masticspoke.messages.control import NodeStopping
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
--- a/src/_masticspoke/control/home_port.py
+++ b/src/_masticspoke/control/home_port.py
@@ -14,7 +14,7 @@
 from _masticspoke.entry.peers import ControlHandlers
 from _masticspoke.exchange import read_bounded
 from _masticspoke.exchange import refusal_response
-from _masticspoke.messages import KeepClaims
+from _masticspoke.messages.once import KeepClaims
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.ask import ask
--- a/src/_masticspoke/control/log_reader.py
+++ b/src/_masticspoke/control/log_reader.py
@@ -8,9 +8,9 @@
 from _masticspoke.control.keeper import KeeperMessage
 from _masticspoke.decisions.backoff import pause_after
 from _masticspoke.exchange import Connections
-from _masticspoke.messages import AskPosition
-from _masticspoke.messages import LogHealth
-from _masticspoke.messages import LogRecords
+from _masticspoke.messages.control import AskPosition
+from _masticspoke.messages.control import LogHealth
+from _masticspoke.messages.control import LogRecords
 from _masticspoke.model import Address
 from _masticspoke.platform.log import LogClient
 from _masticspoke.platform.log import LogFault
--- a/src/_masticspoke/control/log_writer.py
+++ b/src/_masticspoke/control/log_writer.py
@@ -10,8 +10,8 @@
 
 from _masticspoke.decisions.backoff import pause_after
 from _masticspoke.exchange import Connections
-from _masticspoke.messages import AppendRecord
-from _masticspoke.messages import LogHealth
+from _masticspoke.messages.control import AppendRecord
+from _masticspoke.messages.control import LogHealth
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
 from _masticspoke.platform.log import LogClient
--- a/src/_masticspoke/control/peer_client.py
+++ b/src/_masticspoke/control/peer_client.py
@@ -36,7 +36,7 @@
 from _masticspoke.decisions.once.model import ConfirmAsked
 from _masticspoke.decisions.once.model import Confirmed
 from _masticspoke.exchange import Connections
-from _masticspoke.messages import Digest
+from _masticspoke.messages.control import Digest
 from _masticspoke.model import Address
 
 T = TypeVar("T")
--- a/src/_masticspoke/control/upkeep.py
+++ b/src/_masticspoke/control/upkeep.py
@@ -17,8 +17,8 @@
 from _masticspoke.decisions.streams import MembersReplay
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
-from _masticspoke.messages import AppendRecord
-from _masticspoke.messages import BackendLeaving
+from _masticspoke.messages.control import AppendRecord
+from _masticspoke.messages.control import BackendLeaving
 
 
 def upkeep(state: KeeperState, now: float) -> None:
--- a/src/_masticspoke/dispatch/attempt.py
+++ b/src/_masticspoke/dispatch/attempt.py
@@ -22,9 +22,9 @@
 from _masticspoke.border.problem import decode_problem
 from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.guard.run import run_call
-from _masticspoke.messages import AttemptEnded
-from _masticspoke.messages import NotAdmitted
-from _masticspoke.messages import Target
+from _masticspoke.messages.dispatch import AttemptEnded
+from _masticspoke.messages.dispatch import Target
+from _masticspoke.messages.guard import NotAdmitted
 from _masticspoke.model import LoadReport
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
--- a/src/_masticspoke/dispatch/resume.py
+++ b/src/_masticspoke/dispatch/resume.py
@@ -18,7 +18,7 @@
 from _masticspoke.dispatch.attempt import attempt
 from _masticspoke.dispatch.attempt import Failed
 from _masticspoke.dispatch.attempt import Result
-from _masticspoke.messages import Target
+from _masticspoke.messages.dispatch import Target
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
--- a/src/_masticspoke/entry/announcements.py
+++ b/src/_masticspoke/entry/announcements.py
@@ -16,8 +16,8 @@
 from _masticspoke.events import log_event
 from _masticspoke.exchange import read_bounded
 from _masticspoke.exchange import refusal_response
-from _masticspoke.messages import Announce
-from _masticspoke.messages import BackendLeaving
+from _masticspoke.messages.control import Announce
+from _masticspoke.messages.control import BackendLeaving
 from _masticspoke.model import Address
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
--- a/src/_masticspoke/entry/clients.py
+++ b/src/_masticspoke/entry/clients.py
@@ -10,7 +10,7 @@
 from _masticspoke.dispatch.conduct import DispatchPort
 from _masticspoke.entry.listener import Handler
 from _masticspoke.exchange import refusal_response
-from _masticspoke.messages import Lend
+from _masticspoke.messages.runs import Lend
 from _masticspoke.model import Loan
 from _masticspoke.model import RequestShape
 from _masticspoke.refusals import Reason
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -27,7 +27,7 @@
 from _masticspoke.exchange import refusal_response
 from _masticspoke.guard.run import GuardPort
 from _masticspoke.guard.run import run_call
-from _masticspoke.messages import NotAdmitted
+from _masticspoke.messages.guard import NotAdmitted
 from _masticspoke.model import Call
 from _masticspoke.model import LoadReport
 from _masticspoke.refusals import Reason
--- a/src/_masticspoke/entry/suspects.py
+++ b/src/_masticspoke/entry/suspects.py
@@ -10,7 +10,7 @@
 from _masticspoke.exchange import read_bounded
 from _masticspoke.exchange import refusal_response
 from _masticspoke.guard.suspects import SuspectsMessage
-from _masticspoke.messages import SuspectsTold
+from _masticspoke.messages.suspects import SuspectsTold
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.supervise.mailbox import Delivery
--- a/src/_masticspoke/guard/runs.py
+++ b/src/_masticspoke/guard/runs.py
@@ -8,12 +8,12 @@
 
 from _masticspoke.decisions import allowance
 from _masticspoke.decisions.allowance import Ledger
-from _masticspoke.messages import Borrow
-from _masticspoke.messages import GiveBack
-from _masticspoke.messages import Lend
-from _masticspoke.messages import RunEnded
-from _masticspoke.messages import RunStarted
-from _masticspoke.messages import Settle
+from _masticspoke.messages.runs import Borrow
+from _masticspoke.messages.runs import GiveBack
+from _masticspoke.messages.runs import Lend
+from _masticspoke.messages.runs import RunEnded
+from _masticspoke.messages.runs import RunStarted
+from _masticspoke.messages.runs import Settle
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
--- a/src/_masticspoke/metrics/recorder.py
+++ b/src/_masticspoke/metrics/recorder.py
@@ -11,8 +11,8 @@
 from typing import final
 
 from _masticspoke.events import counted_events
-from _masticspoke.messages import CatalogueChanged
-from _masticspoke.messages import LogHealth
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.control import LogHealth
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.account import RequestAccount
 from _masticspoke.metrics.account import RequestEnded
--- a/src/_masticspoke/platform/log.py
+++ b/src/_masticspoke/platform/log.py
@@ -12,7 +12,7 @@
 from pydantic import BaseModel
 from pydantic import ValidationError
 
-from _masticspoke.messages import LogRecord
+from _masticspoke.messages.control import LogRecord
 from _masticspoke.model import Address
 
 
--- a/testing/decisions/test_hints.py
+++ b/testing/decisions/test_hints.py
@@ -21,7 +21,7 @@
 from _masticspoke.decisions.hints import merge
 from _masticspoke.decisions.hints import routing_members
 from _masticspoke.decisions.hints import take_news
-from _masticspoke.messages import Digest
+from _masticspoke.messages.control import Digest
 from _masticspoke.model import Address
 from _masticspoke.model import Member
 
--- a/testing/dispatch/test_router.py
+++ b/testing/dispatch/test_router.py
@@ -11,13 +11,13 @@
 
 from _masticspoke.dispatch.router import router
 from _masticspoke.dispatch.router import RouterMessage
-from _masticspoke.messages import AttemptEnded
-from _masticspoke.messages import AttemptFailed
-from _masticspoke.messages import Begin
-from _masticspoke.messages import CallEnded
-from _masticspoke.messages import CatalogueChanged
-from _masticspoke.messages import MembersChanged
-from _masticspoke.messages import Target
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.control import MembersChanged
+from _masticspoke.messages.dispatch import AttemptEnded
+from _masticspoke.messages.dispatch import AttemptFailed
+from _masticspoke.messages.dispatch import Begin
+from _masticspoke.messages.dispatch import CallEnded
+from _masticspoke.messages.dispatch import Target
 from _masticspoke.model import Address
 from _masticspoke.model import LoadReport
 from _masticspoke.model import Ran
--- a/testing/guard/test_gate.py
+++ b/testing/guard/test_gate.py
@@ -7,15 +7,15 @@
 
 from _masticspoke.guard.gate import gate
 from _masticspoke.guard.gate import GateMessage
-from _masticspoke.messages import Admit
-from _masticspoke.messages import Admitted
-from _masticspoke.messages import BackendAnnounced
-from _masticspoke.messages import BackendLeaving
-from _masticspoke.messages import CatalogueChanged
-from _masticspoke.messages import Finished
-from _masticspoke.messages import NotAdmitted
-from _masticspoke.messages import Report
-from _masticspoke.messages import Withdrawn
+from _masticspoke.messages.control import BackendAnnounced
+from _masticspoke.messages.control import BackendLeaving
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.guard import Admit
+from _masticspoke.messages.guard import Admitted
+from _masticspoke.messages.guard import Finished
+from _masticspoke.messages.guard import NotAdmitted
+from _masticspoke.messages.guard import Report
+from _masticspoke.messages.guard import Withdrawn
 from _masticspoke.model import Address
 from _masticspoke.model import Call
 from _masticspoke.model import Catalogue
--- a/testing/metrics/test_recorder.py
+++ b/testing/metrics/test_recorder.py
@@ -5,8 +5,8 @@
 
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
-from _masticspoke.messages import CatalogueChanged
-from _masticspoke.messages import LogHealth
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.control import LogHealth
 from _masticspoke.metrics.account import Outcome
 from _masticspoke.metrics.account import Port
 from _masticspoke.metrics.account import RequestAccount
