--- a/src/_masticspoke/decisions/peers.py
+++ b/src/_masticspoke/decisions/peers.py
@@ -83,7 +83,8 @@
     for member in members:
         peer = known.get(member.node)
         if peer is None or peer.member.incarnation != member.incarnation:
-            peer = Peer(member, since)
+            # A report that was asked for earlier is of the process before.
+            peer = Peer(member, since, reported_at=now)
         peer.member = member
         peers.by_node[member.node] = peer
         peers.by_service.setdefault(member.service, []).append(peer)
--- a/testing/decisions/test_peers.py
+++ b/testing/decisions/test_peers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -13,6 +14,7 @@
 
 from _masticspoke.decisions import peers as known
 from _masticspoke.decisions.peers import Peers
+from _masticspoke.model import LoadReport
 
 
 def ejected(found: Peers, now: float) -> list[int]:
@@ -106,3 +108,13 @@
     assert (fresh.outstanding, fresh.samples, fresh.report) == (0, 0, None)
     assert known.share(fresh, 5.0) == known.SLOW_START_SHARE
     assert known.share(found.by_node[node(2)], 5.0) == 1.0
+
+
+def test_report_asked_for_before_an_incarnation_is_not_taken_for_it() -> None:
+    found = peers(1, 2)
+    restarted = replace(member(1), incarnation="next")
+    known.replace_members(found, [restarted, member(2)], 20.0)
+    known.record_report(found, node(1), LoadReport(leaving=True), 19.9)
+    assert found.by_node[node(1)].report is None
+    known.record_report(found, node(1), LoadReport(), 20.0)
+    assert found.by_node[node(1)].report == LoadReport()
