Answer for a task that crashes with a question in hand

Cause: when a task crashed, whoever had asked the question in hand waited for ever, and the rest of its batch was lost: a client would hang until it left. Ruled out: a time limit for each question, as a queued admission may wait as long as the call's deadline.

--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -38,7 +38,7 @@
 from _masticspoke.relay import Cut
 from _masticspoke.relay import relay
 from _masticspoke.relay import Relayed
-from _masticspoke.supervise.mailbox import Delivery
+from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import Clock
@@ -174,18 +174,14 @@
 
 
 async def _ask(
-    port: DispatchPort, question: Begin | AttemptFailed, when_full: Refusal
+    port: DispatchPort, question: Begin | AttemptFailed, otherwise: Refusal
 ) -> Target | Refusal:
-    if port.router.tell(question) is Delivery.FULL:
-        return when_full
-    return await question.reply.value()
+    return await ask_or(port.router, question, question.reply, otherwise)
 
 
 async def _borrow(port: DispatchPort, loan: Loan) -> int:
     question = Borrow(loan, Reply())
-    if port.guard.runs.tell(question) is Delivery.FULL:
-        return 0
-    return await question.reply.value()
+    return await ask_or(port.guard.runs, question, question.reply, 0)
 
 
 def _give_back(
--- a/src/_masticspoke/dispatch/keyed.py
+++ b/src/_masticspoke/dispatch/keyed.py
@@ -48,7 +48,7 @@
 from _masticspoke.relay import Cut
 from _masticspoke.relay import relay
 from _masticspoke.relay import Relayed
-from _masticspoke.supervise.mailbox import Delivery
+from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 
@@ -103,9 +103,8 @@
 
     async def find() -> Target | Refusal:
         question = Resume(call, Reply())
-        if port.dispatch.router.tell(question) is Delivery.FULL:
-            return Refusal(Reason.BUSY)
-        return await question.reply.value()
+        busy = Refusal(Reason.BUSY)
+        return await ask_or(port.dispatch.router, question, question.reply, busy)
 
     if not sent.resendable:
         return _TOO_LONG
@@ -158,10 +157,8 @@
     reply: Reply[KeyResult] = Reply()
     digest = key_digest(call.service, call.key or "")
     question = AskKey(call.service, digest, fingerprint(held.sent), reply)
-    if port.home.tell(question) is Delivery.FULL:
-        return _FULL
     try:
-        result = await reply.value()
+        result = await ask_or(port.home, question, reply, _FULL)
     except asyncio.CancelledError:
         port.home.tell(KeyAbandoned(reply))
         raise
--- a/src/_masticspoke/entry/announcements.py
+++ b/src/_masticspoke/entry/announcements.py
@@ -21,6 +21,7 @@
 from _masticspoke.model import Address
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
@@ -70,10 +71,8 @@
             found = f"{error.error_count()} faults in the announcement"
             return _refuse(_malformed(found))
         reply: Reply[Refusal | None] = Reply()
-        delivery = keeper.tell(Announce(member, ttl_s, reply))
-        if delivery is Delivery.FULL:
-            return refusal_response(Refusal(Reason.BUSY))
-        refusal = await reply.value()
+        question = Announce(member, ttl_s, reply)
+        refusal = await ask_or(keeper, question, reply, Refusal(Reason.BUSY))
         return web.Response(status=204) if refusal is None else _refuse(refusal)
 
     return announce
--- a/src/_masticspoke/entry/clients.py
+++ b/src/_masticspoke/entry/clients.py
@@ -15,7 +15,7 @@
 from _masticspoke.model import RequestShape
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
-from _masticspoke.supervise.mailbox import Delivery
+from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Reply
 
 
@@ -58,6 +58,4 @@
     if not shape.from_backend or shape.trace is None:
         return None
     question = Lend(shape.trace, name, Reply())
-    if port.guard.runs.tell(question) is Delivery.FULL:
-        return None
-    return await question.reply.value()
+    return await ask_or(port.guard.runs, question, question.reply, None)
--- a/src/_masticspoke/errors.py
+++ b/src/_masticspoke/errors.py
@@ -55,6 +55,11 @@
     exit_code = 6
 
 
+@final
+class TaskCrashedError(MasticspokeError):
+    """A task crashed with a question in hand."""
+
+
 @final
 class NodeUnavailableError(MasticspokeError):
     """A node did not answer."""
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -46,6 +46,7 @@
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
 from _masticspoke.relay import Cut
+from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Delivery
 from _masticspoke.supervise.mailbox import Mailbox
@@ -129,10 +130,9 @@
 ) -> Answer | NotAdmitted:
     reply: Reply[Admitted | NotAdmitted] = Reply()
     question = Admit(call, number, reply)
-    if port.gate.tell(question) is Delivery.FULL:
-        return _unused(NotAdmitted(Refusal(Reason.BUSY), LoadReport()), call)
+    busy = NotAdmitted(Refusal(Reason.BUSY), LoadReport())
     try:
-        answer = await reply.value()
+        answer = await ask_or(port.gate, question, reply, busy)
     except asyncio.CancelledError:
         port.gate.tell(Withdrawn(reply))
         raise
@@ -233,8 +233,7 @@
     """Have the other guards told, before the caller can send it again."""
     down = not await _accepts_connections(admitted.backend)
     question = RequestBroken(admitted.trace, down, Reply())
-    if port.suspects.tell(question) is Delivery.ACCEPTED:
-        await question.reply.value()
+    await ask_or(port.suspects, question, question.reply, None)
 
 
 async def _accepts_connections(backend: Address) -> bool:
@@ -265,7 +264,6 @@
     if run.call.allowance == 0:
         return report
     question = Settle(run.admitted.trace, Reply())
-    if port.runs.tell(question) is Delivery.FULL:
-        return report
-    left = await question.reply.value()
+    known = report.allowance_left
+    left = await ask_or(port.runs, question, question.reply, known)
     return replace(report, allowance_left=left)
--- a/src/_masticspoke/metrics/measure.py
+++ b/src/_masticspoke/metrics/measure.py
@@ -22,7 +22,7 @@
 from _masticspoke.metrics.recorder import RecorderMessage
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import Refusal
-from _masticspoke.supervise.mailbox import Delivery
+from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import Clock
@@ -85,9 +85,10 @@
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         question = AskMetrics(Reply())
-        if recorder.tell(question) is Delivery.FULL:
+        found = await ask_or(recorder, question, question.reply, None)
+        if found is None:
             return refusal_response(Refusal(Reason.BUSY))
-        body = encode_metrics(await question.reply.value())
+        body = encode_metrics(found)
         return web.Response(body=body, headers={"Content-Type": EXPOSITION_TYPE})
 
     return handle
--- a/src/_masticspoke/supervise/mailbox.py
+++ b/src/_masticspoke/supervise/mailbox.py
@@ -4,11 +4,15 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
 from enum import Enum
 from typing import final
 from typing import Generic
 from typing import TypeVar
 
+from _masticspoke.errors import TaskCrashedError
+
 M = TypeVar("M")
 T = TypeVar("T")
 
@@ -44,6 +48,10 @@
         """Messages that were answered ``FULL`` so far."""
         return self._refused
 
+    def give_back(self, messages: Sequence[M]) -> None:
+        """Put received messages back, in front of those that wait."""
+        self._waiting.extendleft(reversed(messages))
+
     def tell(self, message: M) -> Delivery:
         """Leave a message without waiting."""
         if len(self._waiting) >= self._capacity:
@@ -80,6 +88,12 @@
                 timer.cancel()
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Dropped:
+    """Takes the place of an answer that will not come."""
+
+
 @final
 class Reply(Generic[T]):
     """The answer to one question; the asking task waits for it."""
@@ -87,7 +101,8 @@
     __slots__ = ("_future",)
 
     def __init__(self) -> None:
-        self._future: asyncio.Future[T] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._future: asyncio.Future[T | _Dropped] = loop.create_future()
 
     @property
     def abandoned(self) -> bool:
@@ -99,9 +114,22 @@
         if not self._future.done():
             self._future.set_result(value)
 
+    def drop(self) -> None:
+        """Tell the asking task that there will be no answer."""
+        if not self._future.done():
+            self._future.set_result(_Dropped())
+
     async def value(self) -> T:
-        """Wait for the answer."""
-        return await self._future
+        """Wait for the answer.
+
+        :raises TaskCrashedError: when the task crashed with the question in hand.
+        """
+        value = await self._future
+        if isinstance(value, _Dropped):
+            raise TaskCrashedError(
+                "a task crashed with a question in hand", "look at event 1101"
+            )
+        return value
 
 
 def _wake(receiver: asyncio.Future[None]) -> None:
--- a/src/_masticspoke/supervise/server.py
+++ b/src/_masticspoke/supervise/server.py
@@ -9,6 +9,7 @@
 
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import Clock
 
 S = TypeVar("S")
@@ -29,6 +30,9 @@
 ) -> None:
     """Handle each message by its type, with the present time, until cancelled.
 
+    A crash costs the message in hand: its question is dropped, the others of the
+    batch wait for the restarted task.
+
     :param state: what the task owns; handlers change it.
     :param handlers: the handler of each message type.
     :param tick_s: call ``on_tick`` when no message came for that many seconds,
@@ -39,7 +43,19 @@
     while True:
         if wait_s is not None:
             tick_s = wait_s(state, clock())
-        for message in await inbox.receive(tick_s):
-            handlers[type(message)](state, message, clock())
+        batch = await inbox.receive(tick_s)
+        for position, message in enumerate(batch, 1):
+            try:
+                handlers[type(message)](state, message, clock())
+            except Exception:
+                _drop_question(message)
+                inbox.give_back(batch[position:])
+                raise
         if on_tick is not None:
             on_tick(state, clock())
+
+
+def _drop_question(message: Any) -> None:
+    reply = getattr(message, "reply", None)
+    if isinstance(reply, Reply):
+        reply.drop()
