Give what the dispatch modules share a module of its own

Cause: attempt.py and resume.py imported conduct.py for types only, behind TYPE_CHECKING, as conduct.py imports them. Change: dispatch/port.py holds DispatchPort, Conduct and Answer; entry/branch.py alone says how each kind of handling is served. Measured: make check clean; testing/dispatch and testing/test_node.py pass.

--- a/src/_masticspoke/dispatch/attempt.py
+++ b/src/_masticspoke/dispatch/attempt.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import final
-from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
@@ -20,6 +19,8 @@
 from _masticspoke.border.headers import REFUSED_HEADER
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.problem import decode_problem
+from _masticspoke.dispatch.port import Conduct
+from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.guard.run import run_call
 from _masticspoke.messages.dispatch import AttemptEnded
@@ -31,10 +32,6 @@
 from _masticspoke.refusals import Refusal
 from _masticspoke.relay import Cut
 
-if TYPE_CHECKING:
-    from _masticspoke.dispatch.conduct import Conduct
-    from _masticspoke.dispatch.conduct import DispatchPort
-
 # A guard's own refusal at the deadline tells more than a timeout here (issue 4).
 REFUSAL_GRACE_S = 0.02
 
--- a/src/_masticspoke/dispatch/conduct.py
+++ b/src/_masticspoke/dispatch/conduct.py
@@ -2,28 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
-from typing import final
-
 import aiohttp
 from aiohttp import web
 
-from _masticspoke.decisions.handling import Handling
 from _masticspoke.decisions.handling import handling
 from _masticspoke.decisions.retry import truthful
 from _masticspoke.dispatch.attempt import attempt
 from _masticspoke.dispatch.attempt import Failed
+from _masticspoke.dispatch.port import Answer
+from _masticspoke.dispatch.port import Conduct
+from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.dispatch.resume import finish
-from _masticspoke.dispatch.router import RouterMessage
 from _masticspoke.exchange import account_of
-from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
 from _masticspoke.exchange import receive
-from _masticspoke.guard.run import GuardPort
 from _masticspoke.messages.dispatch import AttemptEnded
 from _masticspoke.messages.dispatch import AttemptFailed
 from _masticspoke.messages.dispatch import Begin
@@ -39,49 +31,7 @@
 from _masticspoke.relay import relay
 from _masticspoke.relay import Relayed
 from _masticspoke.supervise.ask import ask_or
-from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
-from _masticspoke.supervise.supervisor import Clock
-
-Answer = web.StreamResponse | Refusal
-
-
-@final
-@dataclass(slots=True)
-class Conduct:
-    """One request on its way.
-
-    :param loan: from the running call that sent it, if one did.
-    :param relayed: the answer, as far as it was passed on.
-    :param sent: the request as it is passed on.
-    :param unused: retries that are certainly not used, nor lent.
-    """
-
-    request: web.BaseRequest
-    loan: Loan | None
-    relayed: Relayed
-    sent: Outgoing
-    unused: int = 0
-
-
-Serve = Callable[["DispatchPort", Conduct, Target], Awaitable[Answer]]
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class DispatchPort:
-    """What a request's task needs in order to have a request served.
-
-    :param buffer_bytes: bodies up to this size can be sent a second time.
-    :param serve: how each kind of handling is done.
-    """
-
-    router: Mailbox[RouterMessage]
-    connections: Connections
-    guard: GuardPort
-    clock: Clock
-    buffer_bytes: int
-    serve: Mapping[Handling, Serve] = field(default_factory=lambda: SERVE)
 
 
 async def conduct(
@@ -191,6 +141,3 @@
         port.guard.runs.tell(GiveBack(held.loan, held.unused, refused))
     elif first.call.key is not None:
         port.router.tell(CallEnded(first.call, held.unused, refused))
-
-
-SERVE: Mapping[Handling, Serve] = {Handling.PLAIN: attempts, Handling.KEYED: attempts}
--- a/src/_masticspoke/dispatch/keyed.py
+++ b/src/_masticspoke/dispatch/keyed.py
@@ -26,10 +26,10 @@
 from _masticspoke.decisions.once.model import Elsewhere
 from _masticspoke.decisions.once.model import StoredAnswer
 from _masticspoke.decisions.once.placement import key_digest
-from _masticspoke.dispatch.conduct import Answer
 from _masticspoke.dispatch.conduct import attempts
-from _masticspoke.dispatch.conduct import Conduct
-from _masticspoke.dispatch.conduct import DispatchPort
+from _masticspoke.dispatch.port import Answer
+from _masticspoke.dispatch.port import Conduct
+from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.run import fingerprint
 from _masticspoke.messages.dispatch import AttemptEnded
--- a/src/_masticspoke/dispatch/resume.py
+++ b/src/_masticspoke/dispatch/resume.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
@@ -18,6 +17,8 @@
 from _masticspoke.dispatch.attempt import attempt
 from _masticspoke.dispatch.attempt import Failed
 from _masticspoke.dispatch.attempt import Result
+from _masticspoke.dispatch.port import Conduct
+from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.messages.dispatch import Target
 from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
@@ -25,10 +26,6 @@
 from _masticspoke.relay import Cut
 from _masticspoke.relay import relay_body
 
-if TYPE_CHECKING:
-    from _masticspoke.dispatch.conduct import Conduct
-    from _masticspoke.dispatch.conduct import DispatchPort
-
 NextTarget = Callable[[Target, Failed, bool], Awaitable[Target | Refusal]]
 _BROKEN = Failed(Refusal(Reason.NODE_FAILED, Ran.UNKNOWN, detail="answer broke off"))
 
--- a/src/_masticspoke/entry/branch.py
+++ b/src/_masticspoke/entry/branch.py
@@ -11,9 +11,9 @@
 from _masticspoke.control.peer_port import control_handlers
 from _masticspoke.decisions.handling import Handling
 from _masticspoke.dispatch.conduct import attempts
-from _masticspoke.dispatch.conduct import DispatchPort
 from _masticspoke.dispatch.keyed import HomePort
 from _masticspoke.dispatch.keyed import serve_here
+from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.entry.announcements import backend_handler
 from _masticspoke.entry.clients import client_handler
 from _masticspoke.entry.listener import Handler
--- a/src/_masticspoke/entry/clients.py
+++ b/src/_masticspoke/entry/clients.py
@@ -7,7 +7,7 @@
 from _masticspoke.border.headers import passed
 from _masticspoke.border.headers import request_shape
 from _masticspoke.dispatch.conduct import conduct
-from _masticspoke.dispatch.conduct import DispatchPort
+from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.entry.listener import Handler
 from _masticspoke.exchange import refusal_response
 from _masticspoke.messages.runs import Lend
--- a/src/_masticspoke/entry/peers.py
+++ b/src/_masticspoke/entry/peers.py
@@ -18,9 +18,9 @@
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.decisions.once.model import Elsewhere
-from _masticspoke.dispatch.conduct import Answer
 from _masticspoke.dispatch.keyed import HomePort
 from _masticspoke.dispatch.keyed import serve_forwarded
+from _masticspoke.dispatch.port import Answer
 from _masticspoke.entry.listener import Handler
 from _masticspoke.exchange import Outgoing
 from _masticspoke.exchange import receive
