Refuse a body that never ends as malformed, not as a missed deadline

Cause: when a broken chunk comes in a later segment, the HTTP library ends neither the body nor the request; the node waited and then said deadline-passed, which blames the backend server and counted as its latency. Ruled out: easing the test; private parts of the library; a stall limit, which would cut slow uploads. Change: a request whose body is still awaited at the deadline is refused as malformed, with ran unknown if it was passed on.

--- a/src/_masticspoke/dispatch/attempt.py
+++ b/src/_masticspoke/dispatch/attempt.py
@@ -21,6 +21,7 @@
 from _masticspoke.border.problem import decode_problem
 from _masticspoke.dispatch.port import Conduct
 from _masticspoke.dispatch.port import DispatchPort
+from _masticspoke.exchange import deadline_refusal
 from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.guard.run import run_call
 from _masticspoke.messages.dispatch import AttemptEnded
@@ -117,7 +118,7 @@
     except TimeoutError:
         if held.relayed.response is not None:
             return Cut(held.relayed.response, by_caller=True)
-        return Failed(Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN))
+        return Failed(deadline_refusal(held.sent))
 
 
 async def _run_here(
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -23,11 +23,13 @@
 from _masticspoke.metrics.account import RequestAccount
 from _masticspoke.model import Address
 from _masticspoke.model import LoadReport
+from _masticspoke.model import Ran
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import REASONS
 from _masticspoke.refusals import Refusal
 from _masticspoke.relay import ONE_WRITE_BYTES
 
+_NOT_WHOLE = "the body did not arrive whole"
 ACCOUNT = web.RequestKey("account", RequestAccount)
 # Below the idle time-outs usual in servers, which are 5 s and more.
 _KEEP_IDLE_S = 4.0
@@ -42,21 +44,33 @@
 
     def __init__(self) -> None:
         self._failed = False
+        self._waiting = False
 
     @property
     def failed(self) -> bool:
         """Whether the body arrived malformed or not whole."""
         return self._failed
 
+    @property
+    def waiting(self) -> bool:
+        """Whether the next part of the body has not arrived."""
+        return self._waiting
+
     async def chunks(self, content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
         """Pass the body on."""
         try:
-            async for chunk in content.iter_any():
+            while chunk := await self._next(content):
                 yield chunk
         except (web.RequestPayloadError, aiohttp.ClientError, ConnectionError):
             self._failed = True
             raise
 
+    async def _next(self, content: aiohttp.StreamReader) -> bytes:
+        self._waiting = True
+        chunk = await content.readany()
+        self._waiting = False
+        return chunk
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -150,6 +164,17 @@
         raise aiohttp.ClientConnectionError(repr(error)) from error
 
 
+def deadline_refusal(sent: Outgoing) -> Refusal:
+    """Return why a request that was passed on is not answered by its deadline.
+
+    The HTTP library does not report a broken chunk that comes in a later segment; the
+    body then never ends (issue 3).
+    """
+    if sent.source.waiting:
+        return Refusal(Reason.MALFORMED, Ran.UNKNOWN, detail=_NOT_WHOLE)
+    return Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN)
+
+
 async def receive(
     request: web.BaseRequest, buffer_bytes: int, wait_s: float
 ) -> Outgoing | Refusal:
@@ -161,7 +186,7 @@
         async with asyncio.timeout(wait_s):
             return await _outgoing(request, buffer_bytes)
     except TimeoutError:
-        return Refusal(Reason.DEADLINE_PASSED, detail="the body did not arrive whole")
+        return Refusal(Reason.DEADLINE_PASSED, detail=_NOT_WHOLE)
     except web.RequestPayloadError as error:
         return Refusal(Reason.MALFORMED, detail=f"request body: {error}")
 
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -20,6 +20,7 @@
 from _masticspoke.border.headers import TRACE_HEADER
 from _masticspoke.border.headers import with_via
 from _masticspoke.exchange import Connections
+from _masticspoke.exchange import deadline_refusal
 from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.gate import GateMessage
@@ -170,8 +171,7 @@
             end = _end_of(answer)
             return answer
     except TimeoutError:
-        refusal = Refusal(Reason.DEADLINE_PASSED, Ran.UNKNOWN)
-        return await _settled(port, run, refusal)
+        return await _settled(port, run, deadline_refusal(run.request))
     finally:
         _tell_ended(port, run, end)
 
--- a/testing/live/test_hostile_input.py
+++ b/testing/live/test_hostile_input.py
@@ -5,6 +5,7 @@
 import json
 import re
 import socket
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -121,6 +122,18 @@
         assert b" 400 " in answer.partition(b"\r\n")[0], answer[:300]
 
 
+def test_broken_chunk_in_a_later_segment_is_the_callers_fault(front: Server) -> None:
+    head = b"Masticspoke-Deadline-Ms: 1000\r\nTransfer-Encoding: chunked\r\n\r\n"
+    address = ("127.0.0.1", front.client_port)
+    with socket.create_connection(address, timeout=10) as client:
+        client.sendall(POST + head + b"5\r\nabcde\r\n")
+        time.sleep(0.2)
+        client.sendall(b"zz\r\ngarbage")
+        answer = client.recv(65_536)
+    assert answer.startswith(b"HTTP/1.1 400 "), answer
+    assert http("GET", f"{front.url}/inspections/1")[0] == 200
+
+
 @pytest.mark.parametrize(
     "value", ["-5", "0", "abc", "1e9", "99999999999999999999", "1.5", "²", " "]
 )
