Keep each test of hostile input once

Change: the two tests that only test_border.py had move to test_hostile_input.py; is_watched goes, its tests ask the same of the state.

--- a/src/_masticspoke/decisions/suspects.py
+++ b/src/_masticspoke/decisions/suspects.py
@@ -134,11 +134,6 @@
     return True
 
 
-def is_watched(suspects: Suspects, fingerprint: int) -> bool:
-    """Return whether a request has to ask for its turn."""
-    return fingerprint in suspects.known
-
-
 def ask_turn(
     suspects: Suspects, turn: int, fingerprint: int, crashes: int, now: float
 ) -> tuple[Effect, ...]:
--- a/testing/decisions/test_suspects.py
+++ b/testing/decisions/test_suspects.py
@@ -14,7 +14,6 @@
 from _masticspoke.decisions.suspects import clear
 from _masticspoke.decisions.suspects import Deny
 from _masticspoke.decisions.suspects import end_turn
-from _masticspoke.decisions.suspects import is_watched
 from _masticspoke.decisions.suspects import learn
 from _masticspoke.decisions.suspects import MAX_SUSPECTS
 from _masticspoke.decisions.suspects import QUARANTINE_S
@@ -40,7 +39,7 @@
     def arrive(self, number: int, fingerprint: int) -> None:
         guard = self.guards[number]
         self.turn += 1
-        if is_watched(guard, fingerprint):
+        if fingerprint in guard.known:
             effects = ask_turn(guard, self.turn, fingerprint, 0, 0.0)
             if effects != (Turn(self.turn),):
                 end_turn(guard, self.turn)
@@ -103,9 +102,9 @@
 def test_innocent_request_is_cleared_by_one_success() -> None:
     guard = Suspects()
     record_crash(guard, [1, KILLER], 0.0)
-    assert is_watched(guard, 1)
+    assert 1 in guard.known
     assert clear(guard, 1)
-    assert not is_watched(guard, 1)
+    assert 1 not in guard.known
     assert not clear(guard, 1)
 
 
@@ -161,4 +160,4 @@
     record_crash(guard, [KILLER], 0.0)
     record_crash(guard, range(MAX_SUSPECTS + 50), 0.0)
     assert len(guard.known) == MAX_SUSPECTS
-    assert is_watched(guard, KILLER)
+    assert KILLER in guard.known
--- a/testing/live/test_hostile_input.py
+++ b/testing/live/test_hostile_input.py
@@ -205,3 +205,21 @@
     seen = {n for n in json.loads(body)["headers"] if n.startswith("Masticspoke-")}
     assert seen == {"Masticspoke-Deadline-Ms"}
     assert b"Masticspoke" not in head
+
+
+@pytest.mark.parametrize(
+    "target", [b"@10.0.0.1/", b"http://10.0.0.1/inspections/1", b"*"]
+)
+def test_target_that_is_not_a_path_is_refused(front: Server, target: bytes) -> None:
+    head = b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n"
+    assert b" 400 " in exchange(front.client_port, head + b"\r\n")[:20]
+    call = b'Masticspoke-Call: {"a":"x"}\r\n\r\n'
+    assert b" 400 " in exchange(front.peer_port, head + call)[:20]
+
+
+def test_long_list_of_suspects_is_not_read(front: Server) -> None:
+    body = b"[" + b"1," * 5_000_000 + b"1]"
+    head = b"POST /.masticspoke/suspects HTTP/1.1\r\nHost: x\r\n"
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    answer = exchange(front.peer_port, head + length, body)
+    assert problem(answer) == (400, "malformed", "no")
