Say in two functions how a key's home is followed and asked again

Cause: one loop did both with a counter, a continue and an assert; it had to be read twice. Change: _follow goes from node to node for a few hops, _may_ask_again says which refusals end nothing. The order of requests and pauses is the same.

--- a/src/_masticspoke/dispatch/keyed.py
+++ b/src/_masticspoke/dispatch/keyed.py
@@ -125,25 +125,28 @@
         return result
     _release(port.dispatch, first)
     pause_s = FIRST_PAUSE_S
-    hops = 0
     while True:
-        if isinstance(result, Elsewhere) and hops < MAX_HOPS:
-            hops += 1
-            result = await _forward(port.dispatch, held, first.call, result.node)
-            continue
-        if not _is_open(result):
-            assert not isinstance(result, Elsewhere)
+        result = await _follow(port.dispatch, held, first.call, result)
+        if not isinstance(result, Elsewhere) and not _may_ask_again(result):
             return result
         await asyncio.sleep(pause_s)
         pause_s = min(2 * pause_s, MAX_PAUSE_S)
-        hops = 0
         result = await _resume(port, held, first.call)
 
 
-def _is_open(result: Answer | Elsewhere) -> bool:
-    if isinstance(result, Refusal):
-        return result.reason in _ASK_AGAIN
-    return isinstance(result, Elsewhere)
+async def _follow(
+    port: DispatchPort, held: Conduct, call: Call, result: Answer | Elsewhere
+) -> Answer | Elsewhere:
+    """Ask the node that is named, and the one that it names, for a few hops."""
+    hops = 0
+    while isinstance(result, Elsewhere) and hops < MAX_HOPS:
+        hops += 1
+        result = await _forward(port, held, call, result.node)
+    return result
+
+
+def _may_ask_again(result: Answer) -> bool:
+    return isinstance(result, Refusal) and result.reason in _ASK_AGAIN
 
 
 async def _resume(port: HomePort, held: Conduct, call: Call) -> Answer | Elsewhere:
