Speak the log service's published protocol, in one client

Change: platform/log.py and the stand-in speak the published protocol; the stand-in gains silence, nodes turned away, appends done late, history gone.

--- a/bench/control.py
+++ b/bench/control.py
@@ -20,6 +20,7 @@
 from _masticspoke.border.gossip import PAGE_HINTS
 from _masticspoke.border.records import decode_membership
 from _masticspoke.border.records import encode_record
+from _masticspoke.connections import Connections
 from _masticspoke.decisions import hints
 from _masticspoke.decisions import liveness
 from _masticspoke.decisions.hints import HintsState
@@ -27,7 +28,6 @@
 from _masticspoke.decisions.members import MembersState
 from _masticspoke.decisions.members import reduce_membership
 from _masticspoke.decisions.replay import Snapshot
-from _masticspoke.exchange import Connections
 from _masticspoke.messages.control import Digest
 from _masticspoke.model import Member
 from bench.capacity import member
--- a/src/_masticspoke/cli/node_access.py
+++ b/src/_masticspoke/cli/node_access.py
@@ -6,13 +6,13 @@
 from collections.abc import Sequence
 
 from _masticspoke.border.status import decode_status
+from _masticspoke.connections import Connections
 from _masticspoke.control.peer_client import fetch_catalogue
 from _masticspoke.control.peer_client import fetch_status
 from _masticspoke.control.peer_client import PeerClient
 from _masticspoke.control.peer_client import PeerFault
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.errors import NodeUnavailableError
-from _masticspoke.exchange import Connections
 from _masticspoke.messages.control import NodeStatus
 from _masticspoke.model import Address
 
--- a/src/_masticspoke/control/log_reader.py
+++ b/src/_masticspoke/control/log_reader.py
@@ -5,9 +5,9 @@
 import asyncio
 from random import Random
 
+from _masticspoke.connections import Connections
 from _masticspoke.control.keeper import KeeperMessage
 from _masticspoke.decisions.backoff import pause_after
-from _masticspoke.exchange import Connections
 from _masticspoke.messages.control import AskPosition
 from _masticspoke.messages.control import LogHealth
 from _masticspoke.messages.control import LogRecords
--- a/src/_masticspoke/control/log_writer.py
+++ b/src/_masticspoke/control/log_writer.py
@@ -8,8 +8,8 @@
 from collections.abc import Sequence
 from random import Random
 
+from _masticspoke.connections import Connections
 from _masticspoke.decisions.backoff import pause_after
-from _masticspoke.exchange import Connections
 from _masticspoke.messages.control import AppendRecord
 from _masticspoke.messages.control import LogHealth
 from _masticspoke.model import Address
--- a/src/_masticspoke/control/peer_client.py
+++ b/src/_masticspoke/control/peer_client.py
@@ -31,11 +31,11 @@
 from _masticspoke.border.paths import PING_PATH
 from _masticspoke.border.paths import PROBE_PATH
 from _masticspoke.border.paths import STATUS_PATH
+from _masticspoke.connections import Connections
 from _masticspoke.decisions.catalogue import CatalogueState
 from _masticspoke.decisions.hints import Hint
 from _masticspoke.decisions.once.model import ConfirmAsked
 from _masticspoke.decisions.once.model import Confirmed
-from _masticspoke.exchange import Connections
 from _masticspoke.messages.control import Digest
 from _masticspoke.model import Address
 
--- a/src/_masticspoke/dispatch/attempt.py
+++ b/src/_masticspoke/dispatch/attempt.py
@@ -19,10 +19,10 @@
 from _masticspoke.border.headers import REFUSED_HEADER
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.problem import decode_problem
+from _masticspoke.connections import NOT_CONNECTED
 from _masticspoke.dispatch.port import Conduct
 from _masticspoke.dispatch.port import DispatchPort
 from _masticspoke.exchange import deadline_refusal
-from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.guard.run import run_call
 from _masticspoke.messages.dispatch import AttemptEnded
 from _masticspoke.messages.dispatch import Target
--- a/src/_masticspoke/dispatch/port.py
+++ b/src/_masticspoke/dispatch/port.py
@@ -11,9 +11,9 @@
 
 from aiohttp import web
 
+from _masticspoke.connections import Connections
 from _masticspoke.decisions.handling import Handling
 from _masticspoke.dispatch.router import RouterMessage
-from _masticspoke.exchange import Connections
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.run import GuardPort
 from _masticspoke.messages.dispatch import Target
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -27,15 +27,9 @@
 from _masticspoke.refusals import Reason
 from _masticspoke.refusals import REASONS
 from _masticspoke.refusals import Refusal
-from _masticspoke.relay import ONE_WRITE_BYTES
 
 _NOT_WHOLE = "the body did not arrive whole"
 ACCOUNT = web.RequestKey("account", RequestAccount)
-# Below the idle time-outs usual in servers, which are 5 s and more.
-_KEEP_IDLE_S = 4.0
-# Nothing of a request was sent when one of these is raised.
-NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-_SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 @final
@@ -106,64 +100,11 @@
         return URL(f"http://{address}{self.target}", encoded=True)
 
 
-@final
-class Connections:
-    """Client connections of one branch; open while their task runs."""
-
-    def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
-
-    @property
-    def session(self) -> aiohttp.ClientSession:
-        """The open session.
-
-        :raises RuntimeError: when the owning task is not running.
-        """
-        if self._session is None:
-            raise RuntimeError("connections are closed; their task is not running")
-        return self._session
-
-    async def open(self, connect_timeout_s: float) -> None:
-        """Open the session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, use_dns_cache=False, keepalive_timeout=_KEEP_IDLE_S
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=_SKIPPED,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
-            read_bufsize=ONE_WRITE_BYTES,
-            middlewares=(_send_once,),
-        )
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
-
-
 def account_of(request: web.BaseRequest) -> RequestAccount:
     """Return the figures of a request; fresh ones when nobody counts it."""
     return request.get(ACCOUNT) or RequestAccount(0.0)
 
 
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep the library from sending a request again that may have run.
-
-    It does so after these two errors of a kept connection, not after their base.
-    """
-    try:
-        return await handler(request)
-    except NOT_CONNECTED:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise aiohttp.ClientConnectionError(repr(error)) from error
-
-
 def deadline_refusal(sent: Outgoing) -> Refusal:
     """Return why a request that was passed on is not answered by its deadline.
 
--- a/src/_masticspoke/guard/run.py
+++ b/src/_masticspoke/guard/run.py
@@ -19,9 +19,9 @@
 from _masticspoke.border.headers import shed_by_backend
 from _masticspoke.border.headers import TRACE_HEADER
 from _masticspoke.border.headers import with_via
-from _masticspoke.exchange import Connections
+from _masticspoke.connections import Connections
+from _masticspoke.connections import NOT_CONNECTED
 from _masticspoke.exchange import deadline_refusal
-from _masticspoke.exchange import NOT_CONNECTED
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.runs import RunsMessage
--- a/src/_masticspoke/guard/suspect_sender.py
+++ b/src/_masticspoke/guard/suspect_sender.py
@@ -8,7 +8,7 @@
 
 from _masticspoke.border.paths import SUSPECTS_PATH
 from _masticspoke.border.suspects import encode_suspects
-from _masticspoke.exchange import Connections
+from _masticspoke.connections import Connections
 from _masticspoke.messages.suspects import SpreadSuspects
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import ChildBody
--- a/src/_masticspoke/parts.py
+++ b/src/_masticspoke/parts.py
@@ -8,6 +8,7 @@
 from typing import final
 
 from _masticspoke.border.settings import Settings
+from _masticspoke.connections import Connections
 from _masticspoke.control.gossip import GossipMessage
 from _masticspoke.control.home import HomeMessage
 from _masticspoke.control.keeper import KeeperMessage
@@ -18,7 +19,6 @@
 from _masticspoke.decisions.once.model import process_at
 from _masticspoke.decisions.once.model import SendConfirmAsked
 from _masticspoke.dispatch.router import RouterMessage
-from _masticspoke.exchange import Connections
 from _masticspoke.guard.gate import GateMessage
 from _masticspoke.guard.runs import RunsMessage
 from _masticspoke.guard.suspect_sender import SenderMessage
--- a/src/_masticspoke/platform/log.py
+++ b/src/_masticspoke/platform/log.py
@@ -1,20 +1,33 @@
-"""Adapter to the platform's append-only log service, over HTTP with JSON."""
+"""Client of the platform's append-only log."""
 
 from __future__ import annotations
 
 import base64
+import binascii
+import json
+import struct
+from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 from typing import final
 
 import aiohttp
-from pydantic import BaseModel
-from pydantic import ValidationError
 
 from _masticspoke.messages.control import LogRecord
 from _masticspoke.model import Address
 
+# Topics of this name keep the newest record of each key for ever.
+KEYED_PREFIX = "keyed."
+_PART = "0"
+_LENGTH = struct.Struct(">I")
+_RANGE = struct.Struct(">QQ")
+_MAX_READ_KB = 1_024
+# The store answered that nothing was done.
+_REFUSED = frozenset({400, 403, 404, 409, 413, 429, 503, 507})
+
 
 @final
 class LogFault(Enum):
@@ -22,6 +35,7 @@
 
     NOT_DONE = "the log refused or could not be reached; nothing was appended"
     UNKNOWN = "the answer was lost; the records may have been appended"
+    MOVED_ON = "the stream ends at another offset; nothing was appended"
 
 
 @final
@@ -48,21 +62,15 @@
 
 
 @final
-class _AppendAnswer(BaseModel):
-    offset: int
-
-
-@final
-class _RecordModel(BaseModel):
-    offset: int
-    data: str
+@dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest value of each key.
 
+    :param next_offset: where to read on for later records.
+    """
 
-@final
-class _ReadAnswer(BaseModel):
-    records: list[_RecordModel]
-    next: int
-    oldest: int
+    values: Mapping[str, bytes]
+    next_offset: int
 
 
 @final
@@ -80,43 +88,149 @@
 
 
 async def append(
-    client: LogClient, stream: str, records: Sequence[bytes]
+    client: LogClient,
+    stream: str,
+    records: Sequence[bytes],
+    *,
+    expected_end: int | None = None,
 ) -> Appended | LogFault:
-    """Append records to a stream, in one request."""
-    url = f"http://{client.address}/append"
-    body = {
-        "stream": stream,
-        "records": [base64.b64encode(record).decode() for record in records],
-    }
-    timeout = aiohttp.ClientTimeout(total=client.timeout_s)
+    """Append records to a stream, all or none.
+
+    :param expected_end: append only if the stream ends at this offset.
+    """
+    query = {"topic": stream, "part": _PART}
+    if expected_end is not None:
+        query["at"] = str(expected_end)
+    body = b"".join(_LENGTH.pack(len(record)) + record for record in records)
     try:
-        async with client.session.post(url, json=body, timeout=timeout) as response:
+        async with client.session.post(
+            f"http://{client.address}/log-append",
+            params=query,
+            data=body,
+            timeout=aiohttp.ClientTimeout(total=client.timeout_s),
+        ) as response:
             text = await response.read()
             if response.status != 200:
-                return LogFault.NOT_DONE if response.status < 500 else LogFault.UNKNOWN
-            return Appended(_AppendAnswer.model_validate_json(text).offset)
+                return _append_fault(response.status)
+            return Appended(int(json.loads(text)["offset"]))
     except aiohttp.ClientConnectorError:
         return LogFault.NOT_DONE
-    except (TimeoutError, aiohttp.ClientError, ValidationError):
+    except (TimeoutError, aiohttp.ClientError, ConnectionError):
+        return LogFault.UNKNOWN
+    except (ValueError, KeyError, TypeError):
         return LogFault.UNKNOWN
 
 
+def _append_fault(status: int) -> LogFault:
+    if status == 412:
+        return LogFault.MOVED_ON
+    return LogFault.NOT_DONE if status in _REFUSED else LogFault.UNKNOWN
+
+
 async def read(
     client: LogClient, stream: str, offset: int, wait_s: float
 ) -> ReadResult | LogFault:
-    """Read records from ``offset`` on; wait up to ``wait_s`` for a first one."""
-    url = f"http://{client.address}/read"
-    query = {"stream": stream, "from": str(offset), "wait_ms": str(int(wait_s * 1000))}
-    timeout = aiohttp.ClientTimeout(total=client.timeout_s + wait_s)
+    """Read records from ``offset`` on; wait up to ``wait_s`` for a first one.
+
+    When records at ``offset`` are no longer retained, the result has none and says
+    where to read on.
+    """
+    query = {
+        "topic": stream,
+        "part": _PART,
+        "from": str(offset),
+        "max_kilobytes": str(_MAX_READ_KB),
+        "wait_timeout_ms": str(int(wait_s * 1000)),
+    }
     try:
-        async with client.session.get(url, params=query, timeout=timeout) as response:
-            text = await response.read()
+        async with client.session.get(
+            f"http://{client.address}/log-read",
+            params=query,
+            timeout=aiohttp.ClientTimeout(total=client.timeout_s + wait_s),
+        ) as response:
+            body = await response.read()
+            if response.status == 410:
+                first = int(json.loads(body)["first_offset"])
+                return ReadResult((), max(first, offset), first)
             if response.status != 200:
                 return LogFault.NOT_DONE
-            answer = _ReadAnswer.model_validate_json(text)
-    except (TimeoutError, aiohttp.ClientError, ValidationError):
+            return _read_result(stream, offset, body)
+    except (TimeoutError, aiohttp.ClientError, ConnectionError):
         return LogFault.NOT_DONE
-    records = tuple(
-        LogRecord(stream, r.offset, base64.b64decode(r.data)) for r in answer.records
+    except (ValueError, KeyError, TypeError, struct.error):
+        return LogFault.NOT_DONE
+
+
+def _read_result(stream: str, offset: int, body: bytes) -> ReadResult:
+    _, oldest = _RANGE.unpack_from(body)
+    found = tuple(
+        LogRecord(stream, offset + number, data)
+        for number, data in enumerate(_records(body, _RANGE.size))
     )
-    return ReadResult(records, answer.next, answer.oldest)
+    return ReadResult(found, offset + len(found), oldest)
+
+
+def _records(body: bytes, start: int) -> Iterator[bytes]:
+    while start < len(body):
+        (length,) = _LENGTH.unpack_from(body, start)
+        start += _LENGTH.size
+        if start + length > len(body):
+            raise ValueError("a record is cut short")
+        yield body[start : start + length]
+        start += length
+
+
+async def newest(client: LogClient, stream: str) -> Newest | LogFault:
+    """Return the newest value of each key of a keyed stream."""
+    values: dict[str, bytes] = {}
+    after = ""
+    end: int | None = None
+    while True:
+        page = await _newest_page(client, stream, after)
+        if isinstance(page, LogFault):
+            return page
+        try:
+            for item in page["items"]:
+                after = str(item["key"])
+                values[after] = base64.b64decode(item["value"])
+            # Pages are no snapshot: what came since the first one is read again.
+            end = int(page["range_end"]) if end is None else end
+            if not page.get("has_more"):
+                return Newest(values, end)
+        except (KeyError, TypeError, ValueError, binascii.Error):
+            return LogFault.NOT_DONE
+
+
+async def _newest_page(
+    client: LogClient, stream: str, after: str
+) -> dict[str, Any] | LogFault:
+    query = {"topic": stream, "part": _PART}
+    if after:
+        query["after"] = after
+    try:
+        async with client.session.get(
+            f"http://{client.address}/log-newest",
+            params=query,
+            timeout=aiohttp.ClientTimeout(total=client.timeout_s),
+        ) as response:
+            body = await response.read()
+            if response.status != 200:
+                return LogFault.NOT_DONE
+            page = json.loads(body)
+    except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError):
+        return LogFault.NOT_DONE
+    return page if isinstance(page, dict) else LogFault.NOT_DONE
+
+
+def keyed_record(key: str, value: bytes) -> bytes:
+    """Return the record that sets ``key`` in a keyed stream."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def split_keyed(record: bytes) -> tuple[str, bytes] | None:
+    """Return key and value of a record of a keyed stream, ``None`` if malformed."""
+    if not record or len(record) < 1 + record[0]:
+        return None
+    end = 1 + record[0]
+    return record[1:end].decode(errors="replace"), record[end:]
--- a/testing/guard/test_run.py
+++ b/testing/guard/test_run.py
@@ -10,7 +10,7 @@
 import pytest
 from aiohttp import web
 
-from _masticspoke.exchange import Connections
+from _masticspoke.connections import Connections
 from _masticspoke.exchange import Outgoing
 from _masticspoke.guard.run import GuardPort
 from _masticspoke.guard.run import run_call
--- a/testing/live/test_control.py
+++ b/testing/live/test_control.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import base64
 import json
 import signal
 import time
@@ -12,6 +11,8 @@
 from testing.live.fleet import ROOT
 from testing.live.fleet import Server
 from testing.live.fleet import wait_until
+from testing.standins.log_service import RANGE
+from testing.standins.log_service import split_records
 
 from _masticspoke.border.records import decode_membership
 from _masticspoke.decisions.streams import MembersReplay
@@ -135,11 +136,12 @@
 def records(
     fleet: Fleet, stream: str, start: int
 ) -> tuple[int, list[tuple[int, bytes]]]:
-    url = f"http://127.0.0.1:{fleet.log_port}/read?stream={stream}&from={start}"
-    _, body = http("GET", url)
-    answer = json.loads(body)
-    found = [(r["offset"], base64.b64decode(r["data"])) for r in answer["records"]]
-    return answer["oldest"], found
+    query = f"topic={stream}&part=0&from={start}"
+    status, body = http("GET", f"http://127.0.0.1:{fleet.log_port}/log-read?{query}")
+    if status == 410:
+        return records(fleet, stream, json.loads(body)["first_offset"])
+    _, oldest = RANGE.unpack_from(body)
+    return oldest, list(enumerate(split_records(body[RANGE.size :]), start))
 
 
 def read_members_stream(fleet: Fleet, replay: MembersReplay) -> MembersReplay:
--- a/testing/standins/log_service.py
+++ b/testing/standins/log_service.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's append-only log service.
+"""Stand-in for the platform's append-only log service, at its published protocol.
 
 ``python -m testing.standins.log_service PORT``; see docs/INTERFACES.md. Faults are
 set with ``PUT /faults``, a JSON object of :class:`Faults` fields.
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import struct
 import sys
 import time
 from dataclasses import asdict
@@ -16,24 +17,45 @@
 
 from aiohttp import web
 
+LENGTH = struct.Struct(">I")
+RANGE = struct.Struct(">QQ")
+PAGE = 500
+
 
 @dataclass
 class Faults:
+    """What goes wrong.
+
+    ``turned_away`` names callers by their local address; they get 503.
+    ``late_appends`` appends are done ``late_ms`` after their connection broke.
+    """
+
     down: bool = False
+    silent: bool = False
     delay_ms: int = 0
     lose_append_answers: int = 0
+    late_appends: int = 0
+    late_ms: int = 100
     appends_per_s: int = 500
     retained_records: int = 1_000_000
+    turned_away: list[str] = field(default_factory=list)
 
 
 @dataclass
 class Stream:
     oldest: int = 0
-    records: list[str] = field(default_factory=list)
+    records: list[bytes] = field(default_factory=list)
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    epochs: dict[str, int] = field(default_factory=dict)
     grown: asyncio.Event = field(default_factory=asyncio.Event)
 
     def append_bytes(self, record: bytes) -> None:
-        self.records.append(base64.b64encode(record).decode())
+        end = 1 + record[0] if record else 0
+        key, value = record[1:end].decode(errors="replace"), record[end:]
+        self.newest[key] = (self.next, value)
+        if not value:
+            self.newest.pop(key, None)
+        self.records.append(record)
 
     @property
     def next(self) -> int:
@@ -51,63 +73,127 @@
     def stream(self, name: str) -> Stream:
         return self.streams.setdefault(name, Stream())
 
+    def add(self, stream: Stream, records: list[bytes]) -> int:
+        offset = stream.next
+        for record in records:
+            stream.append_bytes(record)
+        self.bytes_total += sum(len(r) for r in records)
+        self.trim(stream, stream.next - self.faults.retained_records)
+        stream.grown.set()
+        stream.grown = asyncio.Event()
+        return offset
+
+    def trim(self, stream: Stream, before: int) -> None:
+        excess = min(before, stream.next) - stream.oldest
+        if excess > 0:
+            del stream.records[:excess]
+            stream.oldest += excess
+
+
+def split_records(body: bytes) -> list[bytes]:
+    found, start = [], 0
+    while start < len(body):
+        (length,) = LENGTH.unpack_from(body, start)
+        start += LENGTH.size
+        found.append(body[start : start + length])
+        start += length
+    return found
+
 
 def application(log: LogService) -> web.Application:
     app = web.Application(client_max_size=64 * 2**20)
+    late: set[asyncio.Task[None]] = set()
 
-    async def gate() -> None:
+    async def gate(request: web.Request) -> None:
         if log.faults.delay_ms:
             await asyncio.sleep(log.faults.delay_ms / 1000)
-        if log.faults.down:
+        if log.faults.silent:
+            await asyncio.sleep(3600)
+        if log.faults.down or request.remote in log.faults.turned_away:
             raise web.HTTPServiceUnavailable
 
     async def append(request: web.Request) -> web.StreamResponse:
-        await gate()
+        await gate(request)
         now = time.monotonic()
         log.appends = [t for t in log.appends if now - t < 1.0]
         if len(log.appends) >= log.faults.appends_per_s:
             raise web.HTTPTooManyRequests
         log.appends.append(now)
         log.appends_total += 1
-        body = await request.json()
-        stream = log.stream(body["stream"])
-        offset = stream.next
-        stream.records += body["records"]
-        log.bytes_total += sum(len(r) for r in body["records"])
-        excess = len(stream.records) - log.faults.retained_records
-        if excess > 0:
-            del stream.records[:excess]
-            stream.oldest += excess
-        stream.grown.set()
-        stream.grown = asyncio.Event()
+        stream = log.stream(request.query["topic"])
+        refused = refusal(request, stream)
+        if refused is not None:
+            return refused
+        records = split_records(await request.read())
+        assert request.transport is not None
+        if log.faults.late_appends > 0:
+            log.faults.late_appends -= 1
+            task = asyncio.create_task(add_late(stream, records))
+            late.add(task)
+            task.add_done_callback(late.discard)
+            request.transport.abort()
+            return web.Response()
+        offset = log.add(stream, records)
         if log.faults.lose_append_answers > 0:
             log.faults.lose_append_answers -= 1
-            assert request.transport is not None
             request.transport.abort()
-        return web.json_response({"offset": offset})
+        return web.json_response({"offset": offset, "range_end": stream.next})
+
+    def refusal(request: web.Request, stream: Stream) -> web.Response | None:
+        producer, epoch = request.query.get("producer"), request.query.get("epoch")
+        if producer is not None and epoch is not None:
+            if int(epoch) < stream.epochs.get(producer, 0):
+                return web.json_response({"why": "fenced"}, status=409)
+            stream.epochs[producer] = int(epoch)
+        at = request.query.get("at")
+        if at is not None and int(at) != stream.next:
+            return web.json_response({"range_end": stream.next}, status=412)
+        return None
+
+    async def add_late(stream: Stream, records: list[bytes]) -> None:
+        await asyncio.sleep(log.faults.late_ms / 1000)
+        log.add(stream, records)
 
     async def read(request: web.Request) -> web.StreamResponse:
-        await gate()
-        stream = log.stream(request.query["stream"])
-        start = max(int(request.query["from"]), stream.oldest)
-        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+        await gate(request)
+        stream = log.stream(request.query["topic"])
+        start = int(request.query["from"])
+        wait_s = int(request.query.get("wait_timeout_ms", "0")) / 1000
         if start >= stream.next and wait_s > 0:
             try:
                 async with asyncio.timeout(wait_s):
                     await stream.grown.wait()
             except TimeoutError:
                 pass
-            await gate()
+            await gate(request)
+        if start < stream.oldest:
+            return web.json_response({"first_offset": stream.oldest}, status=410)
         found = stream.records[start - stream.oldest :][:1000]
-        return web.json_response(
+        body = RANGE.pack(stream.next, stream.oldest)
+        body += b"".join(LENGTH.pack(len(r)) + r for r in found)
+        return web.Response(body=body)
+
+    async def newest(request: web.Request) -> web.StreamResponse:
+        await gate(request)
+        stream = log.stream(request.query["topic"])
+        after = request.query.get("after", "")
+        keys = sorted(key for key in stream.newest if key > after)
+        items = [
             {
-                "records": [
-                    {"offset": start + i, "data": data} for i, data in enumerate(found)
-                ],
-                "next": start + len(found),
-                "oldest": stream.oldest,
+                "key": key,
+                "value": base64.b64encode(stream.newest[key][1]).decode(),
+                "offset": stream.newest[key][0],
             }
-        )
+            for key in keys[:PAGE]
+        ]
+        page = {"items": items, "has_more": len(keys) > PAGE, "range_end": stream.next}
+        return web.json_response(page)
+
+    async def trim(request: web.Request) -> web.StreamResponse:
+        await gate(request)
+        stream = log.stream(request.query["topic"])
+        log.trim(stream, int(request.query["trim_offset"]))
+        return web.json_response({})
 
     async def faults(request: web.Request) -> web.StreamResponse:
         log.faults = Faults(**{**asdict(log.faults), **await request.json()})
@@ -118,8 +204,10 @@
             {"appends": log.appends_total, "bytes": log.bytes_total}
         )
 
-    app.router.add_post("/append", append)
-    app.router.add_get("/read", read)
+    app.router.add_post("/log-append", append)
+    app.router.add_get("/log-read", read)
+    app.router.add_get("/log-newest", newest)
+    app.router.add_post("/log-trim", trim)
     app.router.add_put("/faults", faults)
     app.router.add_get("/counts", counts)
     return app
