--- a/src/_masticspoke/border/headers.py
+++ b/src/_masticspoke/border/headers.py
@@ -33,23 +33,6 @@
 TRACE_HEADER = "traceparent"
 VIA_HEADER = "Via"
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host",
-        "expect",
-    }
-)
-_DROPPED = HOP_BY_HOP | {TRACE_HEADER}
-_OWN_PREFIX = "masticspoke-"
 _MAX_DEADLINE_MS = 24 * 3_600_000
 _MAX_KEY_LENGTH = 255
 _TRACE = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}")
@@ -217,28 +200,6 @@
     )
 
 
-def forwarded(headers: Mapping[str, str]) -> CIMultiDict[str]:
-    """Return the headers that go on to the next process, repeated ones included.
-
-    Headers of this system end here, so that no client or backend server can put
-    one in.
-    """
-    named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
-    return CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if _is_forwarded(name.lower(), named)
-    )
-
-
-def _is_forwarded(name: str, named_by_connection: set[str]) -> bool:
-    return (
-        name not in _DROPPED
-        and not name.startswith(_OWN_PREFIX)
-        and name not in named_by_connection
-    )
-
-
 def answer_head(status: int, headers: Mapping[str, str]) -> AnswerHead:
     """Return what an answer's head tells about its body."""
     length = headers.get("Content-Length", "")
--- a/src/_masticspoke/border/settings.py
+++ b/src/_masticspoke/border/settings.py
@@ -9,9 +9,9 @@
 from pydantic import BeforeValidator
 from pydantic import Field
 
+from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.fields import AddressField
 from _masticspoke.border.fields import BorderModel
-from _masticspoke.border.fields import parse_address
 from _masticspoke.border.ini import read_sections
 from _masticspoke.border.ini import validated
 from _masticspoke.decisions.once.model import OnceLimits
--- a/src/_masticspoke/cli/log_access.py
+++ b/src/_masticspoke/cli/log_access.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from _masticspoke.border.fields import parse_address
+from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.records import CATALOGUE_STREAM
 from _masticspoke.border.records import decode_catalogue
 from _masticspoke.border.records import encode_record
--- a/src/_masticspoke/control/peer_port.py
+++ b/src/_masticspoke/control/peer_port.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from _masticspoke.border.fields import parse_address
+from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.gossip import decode_digest
 from _masticspoke.border.gossip import encode_catalogue
 from _masticspoke.border.gossip import encode_digest
--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -42,7 +42,7 @@
 class Start:
     """The request may run now."""
 
-    job: Job
+    ticket: int
 
 
 @final
@@ -53,7 +53,7 @@
     :param retry_s: when room is expected.
     """
 
-    job: Job
+    ticket: int
     reason: NotRun
     retry_s: float
 
@@ -64,8 +64,8 @@
 @final
 @dataclass(frozen=True, slots=True)
 class _Waiting:
+    ticket: int
     job: Job
-    since: float
     expires: float
 
 
@@ -89,7 +89,7 @@
 
     slots: int = 1
     refusing: NotRun | None = NotRun.ABSENT
-    running: dict[str, tuple[Job, float]] = field(default_factory=dict)
+    running: dict[int, tuple[Job, float]] = field(default_factory=dict)
     lanes: dict[int, _Lane] = field(default_factory=dict)
     run_s: dict[str, float] = field(default_factory=dict)
     any_run_s: float = UNKNOWN_RUN_S
@@ -105,30 +105,33 @@
         return sum(len(lane.waiting) for lane in self.lanes.values())
 
 
-def admit(queue: Queue, job: Job, now: float) -> Verdict | None:
-    """Start, refuse or (``None``) queue a request."""
+def admit(queue: Queue, ticket: int, job: Job, now: float) -> Verdict | None:
+    """Start, refuse or (``None``) queue a request.
+
+    :param ticket: tells apart the requests at this server.
+    """
     if queue.refusing is not None:
-        return Refuse(job, queue.refusing, MIN_RETRY_S)
+        return Refuse(ticket, queue.refusing, MIN_RETRY_S)
     usual_s = queue.run_s.get(job.route, queue.any_run_s)
     if now + usual_s * NEEDED_PART > job.deadline:
-        return Refuse(job, NotRun.TOO_LATE, MIN_RETRY_S)
+        return Refuse(ticket, NotRun.TOO_LATE, MIN_RETRY_S)
     if len(queue.running) < queue.limit and queue.queued == 0:
-        return _start(queue, job, now)
+        return _start(queue, ticket, job, now)
     wait_s = _expected_wait_s(queue, job)
     left_s = _time_left_s(job, now) - usual_s
     if wait_s > left_s * QUEUE_SHARE:
-        return Refuse(job, NotRun.BUSY, _retry_s(wait_s))
+        return Refuse(ticket, NotRun.BUSY, _retry_s(wait_s))
     lane = queue.lanes.setdefault(_lane_of(job), _Lane())
-    lane.waiting.append(_Waiting(job, now, now + left_s * EXPIRY_SHARE))
+    lane.waiting.append(_Waiting(ticket, job, now + left_s * EXPIRY_SHARE))
     return None
 
 
-def finish(queue: Queue, request_id: str, ran: bool, now: float) -> list[Verdict]:
+def finish(queue: Queue, ticket: int, ran: bool, now: float) -> list[Verdict]:
     """Take note of the end of a run, and return what may start or must be refused.
 
     :param ran: whether the time that it took counts.
     """
-    found = queue.running.pop(request_id, None)
+    found = queue.running.pop(ticket, None)
     if found is not None and ran:
         job, started = found
         _learn(queue, job.route, now - started)
@@ -142,15 +145,16 @@
         lane = _next_lane(queue)
         if lane is None:
             break
-        verdicts.append(_start(queue, lane.waiting.popleft().job, now))
+        waiting = lane.waiting.popleft()
+        verdicts.append(_start(queue, waiting.ticket, waiting.job, now))
     return verdicts
 
 
-def forget(queue: Queue, request_id: str) -> None:
+def forget(queue: Queue, ticket: int) -> None:
     """Remove a request whose caller has left while it waited."""
     for lane in queue.lanes.values():
         for waiting in lane.waiting:
-            if waiting.job.request_id == request_id:
+            if waiting.ticket == ticket:
                 lane.waiting.remove(waiting)
                 return
 
@@ -160,7 +164,7 @@
     queue.refusing = reason
     verdicts: list[Verdict] = []
     for lane in queue.lanes.values():
-        verdicts += [Refuse(w.job, reason, MIN_RETRY_S) for w in lane.waiting]
+        verdicts += [Refuse(w.ticket, reason, MIN_RETRY_S) for w in lane.waiting]
         lane.waiting.clear()
     return verdicts
 
@@ -205,9 +209,9 @@
     return NESTED if job.nested else job.rank
 
 
-def _start(queue: Queue, job: Job, now: float) -> Start:
-    queue.running[job.request_id] = (job, now)
-    return Start(job)
+def _start(queue: Queue, ticket: int, job: Job, now: float) -> Start:
+    queue.running[ticket] = (job, now)
+    return Start(ticket)
 
 
 def _learn(queue: Queue, route: str, run_s: float) -> None:
@@ -219,8 +223,8 @@
 def _expired(queue: Queue, now: float) -> Iterator[Refuse]:
     for lane in queue.lanes.values():
         while lane.waiting and lane.waiting[0].expires <= now:
-            job = lane.waiting.popleft().job
-            yield Refuse(job, NotRun.BUSY, _retry_s(queue.any_run_s))
+            ticket = lane.waiting.popleft().ticket
+            yield Refuse(ticket, NotRun.BUSY, _retry_s(queue.any_run_s))
 
 
 def _next_lane(queue: Queue) -> _Lane | None:
--- a/src/_masticspoke/dispatch/keyed.py
+++ b/src/_masticspoke/dispatch/keyed.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from _masticspoke.border.fields import parse_address
+from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.headers import CALL_HEADER
 from _masticspoke.border.headers import ELSEWHERE_HEADER
 from _masticspoke.border.headers import encode_call
--- a/src/_masticspoke/exchange.py
+++ b/src/_masticspoke/exchange.py
@@ -13,8 +13,8 @@
 from aiohttp import web
 from yarl import URL
 
+from _masticspoke.border.forwarding import forwarded
 from _masticspoke.border.headers import encode_report
-from _masticspoke.border.headers import forwarded
 from _masticspoke.border.headers import REFUSED_HEADER
 from _masticspoke.border.headers import REPORT_HEADER
 from _masticspoke.border.problem import CONTENT_TYPE
--- a/src/_masticspoke/relay.py
+++ b/src/_masticspoke/relay.py
@@ -11,8 +11,8 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from _masticspoke.border.forwarding import forwarded
 from _masticspoke.border.headers import answer_head
-from _masticspoke.border.headers import forwarded
 from _masticspoke.decisions.resumption import AnswerHead
 
 ONE_WRITE_BYTES = 65_536
--- a/src/_masticspoke/supervise/mailbox.py
+++ b/src/_masticspoke/supervise/mailbox.py
@@ -70,6 +70,10 @@
         """
         if not self._waiting:
             await self._wait(timeout_s)
+        return self.take()
+
+    def take(self) -> list[M]:
+        """Take all that waits, without waiting."""
         batch = list(self._waiting)
         self._waiting.clear()
         return batch
--- a/testing/border/test_headers.py
+++ b/testing/border/test_headers.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
+from _masticspoke.border.forwarding import forwarded
 from _masticspoke.border.headers import decode_call
 from _masticspoke.border.headers import decode_report
 from _masticspoke.border.headers import encode_call
 from _masticspoke.border.headers import encode_report
-from _masticspoke.border.headers import forwarded
 from _masticspoke.border.headers import passed
 from _masticspoke.border.headers import request_shape
 from _masticspoke.border.headers import shed_by_backend
