--- /dev/null
+++ b/build/lib/_masticspoke/__init__.py
@@ -0,0 +1,3 @@
+"""Private implementation; import :mod:`masticspoke` instead."""
+
+from __future__ import annotations
--- /dev/null
+++ b/build/lib/_masticspoke/border/forwarding.py
@@ -0,0 +1,46 @@
+"""Which headers of a message go on to the next process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    }
+)
+_OWN_PREFIX = "masticspoke-"
+_REPLACED = frozenset({"traceparent"})
+
+
+def forwarded(
+    headers: Mapping[str, str], replaced: frozenset[str] = _REPLACED
+) -> CIMultiDict[str]:
+    """Return the headers that go on to the next process, repeated ones included.
+
+    Headers of this system end here, so that no client or backend server can put
+    one in.
+
+    :param replaced: names in lower case of headers that each node sets itself.
+    """
+    connection = headers.get("Connection")
+    dropped = HOP_BY_HOP | replaced
+    if connection is not None:
+        dropped |= {name.strip().lower() for name in connection.split(",")}
+    return CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if (lower := name.lower()) not in dropped and not lower.startswith(_OWN_PREFIX)
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/border/hop.py
@@ -0,0 +1,110 @@
+"""What travels with a request between the nodes of a fleet: JSON in one header."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+from typing import final
+
+from _masticspoke.decisions.fleet.model import GuardLoad
+from _masticspoke.decisions.fleet.model import Job
+from _masticspoke.decisions.fleet.model import NotRun
+
+JOB_HEADER = "Masticspoke-Job"
+GUARD_HEADER = "Masticspoke-Guard"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class GuardAnswer:
+    """What a guard says with each answer.
+
+    :param not_run: why the request did not run; ``None`` if the rest is an answer.
+    :param broke: the run ended without an answer; it may have run.
+    :param arrived: whether the backend server got the request.
+    :param retry_s: when room is expected.
+    """
+
+    not_run: NotRun | None
+    broke: bool
+    arrived: bool
+    retry_s: float
+    load: GuardLoad
+
+
+def encode_job(job: Job, now: float) -> str:
+    """Return the value of :data:`JOB_HEADER`; times travel as what is left."""
+    return json.dumps(
+        [
+            job.request_id,
+            job.route,
+            job.service,
+            job.caller,
+            job.rank,
+            int(job.repeatable),
+            int(job.nested),
+            int(job.repeat),
+            int((job.objective_at - now) * 1000),
+            int((job.deadline - now) * 1000),
+        ],
+        separators=(",", ":"),
+    )
+
+
+def decode_job(value: str | None, now: float) -> Job | None:
+    """Return the job that a node sent; ``None`` if it is malformed."""
+    try:
+        found = json.loads(value or "")
+        request_id, route, service, caller, *numbers = found
+        texts = (request_id, route, service, caller)
+        if not all(isinstance(text, str) for text in texts):
+            return None
+        rank, repeatable, nested, repeat, objective_ms, left_ms = map(int, numbers)
+    except (ValueError, TypeError):
+        return None
+    return Job(
+        request_id,
+        route,
+        service,
+        caller,
+        rank=rank,
+        repeatable=bool(repeatable),
+        nested=bool(nested),
+        repeat=bool(repeat),
+        objective_at=now + objective_ms / 1000,
+        deadline=now + left_ms / 1000,
+    )
+
+
+def encode_guard(answer: GuardAnswer) -> str:
+    """Return the value of :data:`GUARD_HEADER`."""
+    load = answer.load
+    return json.dumps(
+        [
+            answer.not_run,
+            int(answer.broke),
+            int(answer.arrived),
+            int(answer.retry_s * 1000),
+            load.running,
+            load.queued,
+            load.limit,
+            int(load.run_s * 1000),
+            int(load.pressure_s * 1000),
+        ],
+        separators=(",", ":"),
+    )
+
+
+def decode_guard(value: str | None) -> GuardAnswer | None:
+    """Return what a guard said; ``None`` if it is malformed."""
+    try:
+        found: list[Any] = json.loads(value or "")
+        reason = None if found[0] is None else NotRun(found[0])
+        broke, arrived, retry_ms, running, queued, limit, run_ms, pressure_ms = map(
+            int, found[1:]
+        )
+    except (ValueError, TypeError, IndexError):
+        return None
+    load = GuardLoad(running, queued, limit, run_ms / 1000, pressure_ms / 1000)
+    return GuardAnswer(reason, bool(broke), bool(arrived), retry_ms / 1000, load)
--- /dev/null
+++ b/build/lib/_masticspoke/border/once.py
@@ -0,0 +1,178 @@
+"""Claims, kept claims and seals as log records; confirmations as JSON bodies."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Annotated
+from typing import final
+from typing import Literal
+
+from pydantic import Field
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from _masticspoke.border.fields import AddressField
+from _masticspoke.border.fields import BorderModel
+from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import ConfirmAsked
+from _masticspoke.decisions.once.model import Confirmed
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import Kept
+from _masticspoke.decisions.once.model import OnceRecord
+from _masticspoke.decisions.once.model import Seal
+
+MAX_CONFIRM_BYTES = 2**20
+MAX_QUESTIONS = 1_000
+
+_Name = Annotated[str, Field(max_length=128)]
+_Digest = Annotated[str, Field(pattern="^[0-9a-f]{32}$")]
+
+
+@final
+class _IdentityModel(BorderModel):
+    node: AddressField = Field(alias="n")
+    process: _Name = Field(alias="p")
+
+    def value(self) -> Identity:
+        return Identity(self.node, self.process)
+
+
+@final
+class _ClaimModel(BorderModel):
+    type: Literal["claim"] = "claim"
+    service: _Name = Field(alias="s")
+    digest: _Digest = Field(alias="d")
+    writer: _IdentityModel = Field(alias="w")
+    view: int = Field(alias="v", ge=1)
+
+    def value(self) -> Claim:
+        return Claim(self.service, self.digest, self.writer.value(), self.view)
+
+
+@final
+class _KeptModel(BorderModel):
+    type: Literal["kept"] = "kept"
+    service: _Name = Field(alias="s")
+    claims: tuple[_ClaimModel, ...] = Field(alias="c")
+
+    def value(self) -> Kept:
+        return Kept(self.service, tuple(claim.value() for claim in self.claims))
+
+
+@final
+class _SealModel(BorderModel):
+    type: Literal["seal"] = "seal"
+    service: _Name = Field(alias="s")
+    through: int = Field(alias="t", ge=0)
+    member: _IdentityModel = Field(alias="m")
+
+    def value(self) -> Seal:
+        return Seal(self.service, self.through, self.member.value())
+
+
+@final
+class _QuestionsModel(BorderModel):
+    claims: tuple[_ClaimModel, ...] = Field(alias="c", max_length=MAX_QUESTIONS)
+
+
+@final
+class _ConfirmedModel(BorderModel):
+    member: _IdentityModel = Field(alias="m")
+    kept: tuple[_ClaimModel, ...] = Field(alias="k", max_length=MAX_QUESTIONS)
+
+
+_Record = _ClaimModel | _KeptModel | _SealModel
+_ADAPTER: TypeAdapter[_Record] = TypeAdapter(
+    Annotated[_Record, Field(discriminator="type")]
+)
+
+
+def encode_once(record: OnceRecord) -> bytes:
+    """Return the log record."""
+    return _dump(_ENCODERS[type(record)](record))
+
+
+def decode_once(data: bytes) -> OnceRecord | None:
+    """Return what a log record stands for; ``None`` if it is of another kind."""
+    try:
+        return _ADAPTER.validate_json(data).value()
+    except ValidationError:
+        return None
+
+
+def encode_questions(questions: Sequence[ConfirmAsked]) -> bytes:
+    """Return the body of a request for confirmation."""
+    return _dump(
+        _QuestionsModel.model_construct(
+            claims=tuple(_claim_model(q.claim) for q in questions)
+        )
+    )
+
+
+def decode_questions(body: bytes) -> tuple[ConfirmAsked, ...] | None:
+    """Return the questions of another node, or ``None`` if they are malformed."""
+    try:
+        model = _QuestionsModel.model_validate_json(body)
+    except ValidationError:
+        return None
+    return tuple(ConfirmAsked(claim.value()) for claim in model.claims)
+
+
+def encode_confirmed(member: Identity, answers: Sequence[Confirmed]) -> bytes:
+    """Return the body of an answer: which claims ``member`` keeps."""
+    return _dump(
+        _ConfirmedModel.model_construct(
+            member=_identity_model(member),
+            kept=tuple(_claim_model(a.claim) for a in answers),
+        )
+    )
+
+
+def decode_confirmed(body: bytes) -> tuple[Confirmed, ...] | None:
+    """Return the confirmations of another node, or ``None`` if malformed."""
+    try:
+        model = _ConfirmedModel.model_validate_json(body)
+    except ValidationError:
+        return None
+    member = model.member.value()
+    return tuple(Confirmed(claim.value(), member) for claim in model.kept)
+
+
+def _dump(model: BorderModel) -> bytes:
+    return model.model_dump_json(by_alias=True).encode()
+
+
+def _identity_model(identity: Identity) -> _IdentityModel:
+    return _IdentityModel.model_construct(node=identity.node, process=identity.process)
+
+
+def _claim_model(claim: Claim) -> _ClaimModel:
+    return _ClaimModel.model_construct(
+        type="claim",
+        service=claim.service,
+        digest=claim.digest,
+        writer=_identity_model(claim.writer),
+        view=claim.view,
+    )
+
+
+def _kept_model(kept: Kept) -> _KeptModel:
+    claims = tuple(map(_claim_model, kept.claims))
+    return _KeptModel.model_construct(type="kept", service=kept.service, claims=claims)
+
+
+def _seal_model(seal: Seal) -> _SealModel:
+    return _SealModel.model_construct(
+        type="seal",
+        service=seal.service,
+        through=seal.through,
+        member=_identity_model(seal.member),
+    )
+
+
+_ENCODERS: dict[type, Callable[..., BorderModel]] = {
+    Claim: _claim_model,
+    Kept: _kept_model,
+    Seal: _seal_model,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/border/suspects.py
@@ -0,0 +1,46 @@
+"""What guards of a service tell each other about crash requests, as JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import final
+
+from pydantic import Field
+from pydantic import ValidationError
+
+from _masticspoke.border.fields import BorderModel
+from _masticspoke.decisions.suspects import MAX_SUSPECTS
+from _masticspoke.decisions.suspects import QUARANTINE_S
+from _masticspoke.decisions.suspects import SuspectNews
+
+MAX_SUSPECTS_BYTES = 1024 * 1024
+
+
+@final
+class _SuspectModel(BorderModel):
+    fingerprint: int = Field(alias="f", ge=0, lt=2**64)
+    crashes: int = Field(alias="c", ge=0, le=1_000)
+    ttl_s: float = Field(alias="t", ge=0, le=QUARANTINE_S)
+
+
+@final
+class _SuspectsModel(BorderModel):
+    suspects: tuple[_SuspectModel, ...] = Field(alias="s", max_length=MAX_SUSPECTS)
+
+
+def encode_suspects(suspects: Iterable[SuspectNews]) -> bytes:
+    """Return the body that tells them."""
+    models = tuple(
+        _SuspectModel(f=s.fingerprint, c=s.crashes, t=min(QUARANTINE_S, s.ttl_s))
+        for s in suspects
+    )
+    return _SuspectsModel(s=models).model_dump_json(by_alias=True).encode()
+
+
+def decode_suspects(body: bytes) -> tuple[SuspectNews, ...] | None:
+    """Return what a guard told, or ``None`` if the body is malformed."""
+    try:
+        model = _SuspectsModel.model_validate_json(body)
+    except ValidationError:
+        return None
+    return tuple(SuspectNews(s.fingerprint, s.crashes, s.ttl_s) for s in model.suspects)
--- /dev/null
+++ b/build/lib/_masticspoke/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/build/lib/_masticspoke/cli/catalogue.py
@@ -0,0 +1,140 @@
+"""``masticspoke catalogue``: check, change and show the catalogue."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import getpass
+import json
+import secrets
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import TypeVar
+
+import aiohttp
+
+from _masticspoke.border.catalogue_ini import format_catalogue
+from _masticspoke.border.catalogue_ini import load_catalogue
+from _masticspoke.border.gossip import encode_catalogue
+from _masticspoke.cli.log_access import address_option
+from _masticspoke.cli.log_access import append_change
+from _masticspoke.cli.log_access import conflict
+from _masticspoke.cli.log_access import require_history
+from _masticspoke.cli.log_access import TIMEOUT_S
+from _masticspoke.cli.node_access import catalogue_of_node
+from _masticspoke.decisions.catalogue import CatalogueState
+from _masticspoke.decisions.catalogue import Change
+from _masticspoke.decisions.history import find_change
+from _masticspoke.decisions.history import History
+from _masticspoke.decisions.history import HistoryLine
+from _masticspoke.errors import ChangeConflictError
+from _masticspoke.errors import OutcomeUnknownError
+from _masticspoke.model import Address
+from _masticspoke.model import Catalogue
+from _masticspoke.platform.log import LogClient
+
+T = TypeVar("T")
+
+
+def check_catalogue(options: argparse.Namespace) -> int:
+    """Check a catalogue file."""
+    catalogue = load_catalogue(options.file)
+    print(f"{options.file}: {len(catalogue.entries)} entries, no faults")
+    return 0
+
+
+def apply_catalogue(options: argparse.Namespace) -> int:
+    """Append a catalogue change and report whether it was accepted."""
+    catalogue = load_catalogue(options.file)
+    address = address_option("--log", options.log)
+    author = options.author or getpass.getuser()
+
+    async def run(client: LogClient) -> HistoryLine:
+        return await _apply(client, catalogue, options.made_from, author)
+
+    line = _with_log(address, run)
+    if options.json:
+        print(json.dumps(asdict(line)))
+    else:
+        print(f"catalogue version {line.version} accepted, change {line.change_id}")
+    return 0
+
+
+async def _apply(
+    client: LogClient, catalogue: Catalogue, made_from: int | None, author: str
+) -> HistoryLine:
+    history = await require_history(client)
+    version = history.state.catalogue.version
+    if made_from is None:
+        made_from = version
+    if made_from != version:
+        raise conflict(made_from, version)
+    change = Change(secrets.token_hex(8), made_from, catalogue, author)
+    return await append_change(client, change, history.replay.read_through)
+
+
+def show_catalogue(options: argparse.Namespace) -> int:
+    """Print the catalogue in force, from the log or as a node knows it."""
+    state = _state_at(options)
+    if options.json:
+        print(encode_catalogue(state).decode())
+        return 0
+    print(f"# version {state.catalogue.version}, change {state.change_id}")
+    print(format_catalogue(state.catalogue), end="")
+    return 0
+
+
+def _state_at(options: argparse.Namespace) -> CatalogueState:
+    if options.node is not None:
+        return catalogue_of_node(address_option("--node", options.node))
+    address = address_option("--log", options.log)
+    return _with_log(address, require_history).state
+
+
+def show_history(options: argparse.Namespace) -> int:
+    """Print the changes that the log retains, or settle a single one.
+
+    :raises ChangeConflictError: when the change asked for lost its race.
+    :raises OutcomeUnknownError: when the change asked for is not in the log.
+    """
+    address = address_option("--log", options.log)
+    history = _with_log(address, require_history)
+    lines = history.lines
+    if options.change is not None:
+        lines = (_settled(history, options.change),)
+    for line in lines:
+        print(json.dumps(asdict(line)) if options.json else _text(line))
+    return 0
+
+
+def _settled(history: History, change_id: str) -> HistoryLine:
+    line = find_change(history, change_id)
+    if line is None:
+        raise OutcomeUnknownError(
+            f"change {change_id} is not among those that the log retains",
+            "it can only win while the version it was made from is in force; "
+            "compare catalogue show",
+        )
+    if line.version is None:
+        raise ChangeConflictError(
+            f"change {change_id} lost its race and was not accepted",
+            "look at the catalogue in force and apply yours again",
+        )
+    return line
+
+
+def _text(line: HistoryLine) -> str:
+    outcome = f"version {line.version}" if line.version else "not accepted"
+    return (
+        f"{line.offset} {outcome} from {line.made_from} "
+        f"change {line.change_id} by {line.author or 'unknown'}"
+    )
+
+
+def _with_log(address: Address, run: Callable[[LogClient], Awaitable[T]]) -> T:
+    async def main() -> T:
+        async with aiohttp.ClientSession() as session:
+            return await run(LogClient(session, address, TIMEOUT_S))
+
+    return asyncio.run(main())
--- /dev/null
+++ b/build/lib/_masticspoke/cli/log_access.py
@@ -0,0 +1,142 @@
+"""How the command line reads and changes the catalogue in the log."""
+
+from __future__ import annotations
+
+import asyncio
+
+from _masticspoke.border.addresses import parse_address
+from _masticspoke.border.records import CATALOGUE_STREAM
+from _masticspoke.border.records import decode_catalogue
+from _masticspoke.border.records import encode_record
+from _masticspoke.decisions.catalogue import Change
+from _masticspoke.decisions.history import find_change
+from _masticspoke.decisions.history import History
+from _masticspoke.decisions.history import HistoryLine
+from _masticspoke.decisions.history import read_on
+from _masticspoke.decisions.history import settle
+from _masticspoke.decisions.history import Settled
+from _masticspoke.errors import ChangeConflictError
+from _masticspoke.errors import LogUnavailableError
+from _masticspoke.errors import OutcomeUnknownError
+from _masticspoke.errors import SettingsError
+from _masticspoke.model import Address
+from _masticspoke.platform.log import append
+from _masticspoke.platform.log import LogClient
+from _masticspoke.platform.log import LogFault
+from _masticspoke.platform.log import read
+
+TIMEOUT_S = 5.0
+ATTEMPTS = 4
+PAUSE_S = 0.5
+_LOG_REMEDY = "check --log and that the log service is up, then run it again"
+
+
+def address_option(name: str, text: str) -> Address:
+    """Return the address that an option gives.
+
+    :raises SettingsError: when it is not IP:PORT.
+    """
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise SettingsError(f"{name} {text}: {error}", "correct it") from None
+
+
+async def read_history(client: LogClient) -> History | LogFault:
+    """Return the whole stream ``catalogue``."""
+    history = History()
+    while True:
+        start = history.replay.read_through + 1
+        result = await read(client, CATALOGUE_STREAM, start, 0.0)
+        if isinstance(result, LogFault):
+            return result
+        records = [(r.offset, decode_catalogue(r.data)) for r in result.records]
+        history = read_on(history, result.oldest_offset, records)
+        if not result.records:
+            return history
+
+
+async def require_history(client: LogClient) -> History:
+    """Return the whole stream ``catalogue``.
+
+    :raises LogUnavailableError: when the log does not answer, or no longer retains
+        what is needed.
+    """
+    history = await _retried(client)
+    if isinstance(history, LogFault):
+        raise LogUnavailableError(history.value, _LOG_REMEDY)
+    if not history.replay.complete:
+        raise LogUnavailableError(
+            "the log retains no snapshot of the catalogue",
+            "start a node that knows the catalogue and wait for its snapshot",
+        )
+    return history
+
+
+async def append_change(
+    client: LogClient, change: Change, read_through: int
+) -> HistoryLine:
+    """Append a change and return its line in the history.
+
+    The same record is appended again after a lost answer: at most one of several
+    can win, since the others then name a version that is no longer in force.
+
+    :param read_through: offset up to which the log had been read before.
+    :raises ChangeConflictError: when another change won the version.
+    :raises LogUnavailableError: when nothing was appended.
+    :raises OutcomeUnknownError: when it can't be told whether the change won.
+    """
+    perhaps_appended = False
+    for attempt in range(ATTEMPTS):
+        await asyncio.sleep(PAUSE_S * attempt)
+        fault = await append(client, CATALOGUE_STREAM, [encode_record(change)])
+        perhaps_appended = perhaps_appended or fault is not LogFault.NOT_DONE
+        if fault is LogFault.NOT_DONE:
+            continue
+        line = await _settled_line(client, change, read_through)
+        if line is not None:
+            return line
+    if perhaps_appended:
+        raise _unknown(client, change)
+    raise LogUnavailableError(LogFault.NOT_DONE.value, _LOG_REMEDY)
+
+
+async def _settled_line(
+    client: LogClient, change: Change, read_through: int
+) -> HistoryLine | None:
+    history = await read_history(client)
+    if isinstance(history, LogFault):
+        return None
+    settled = settle(history, change, read_through)
+    if settled is Settled.LOST:
+        raise conflict(change.made_from, history.state.catalogue.version)
+    if settled is Settled.ACCEPTED:
+        return find_change(history, change.change_id)
+    return None
+
+
+async def _retried(client: LogClient) -> History | LogFault:
+    history = await read_history(client)
+    for attempt in range(1, ATTEMPTS):
+        if not isinstance(history, LogFault):
+            return history
+        await asyncio.sleep(PAUSE_S * attempt)
+        history = await read_history(client)
+    return history
+
+
+def conflict(made_from: int, version: int) -> ChangeConflictError:
+    """Return the error that tells the loser of a race what to do."""
+    return ChangeConflictError(
+        f"the change was made from version {made_from}, but version {version} is in "
+        "force; it was not accepted",
+        f"look at it with catalogue show, and apply yours --made-from {version}",
+    )
+
+
+def _unknown(client: LogClient, change: Change) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        f"the log's answers were lost; change {change.change_id} may be accepted",
+        "settle it with: masticspoke catalogue history "
+        f"--log {client.address} --change {change.change_id}",
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/cli/status.py
@@ -0,0 +1,74 @@
+"""``masticspoke status``: show what one node, or each that it knows, knows."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+
+from _masticspoke.border.status import decode_status
+from _masticspoke.cli.log_access import address_option
+from _masticspoke.cli.node_access import ask_fleet
+from _masticspoke.control.peer_client import PeerFault
+from _masticspoke.errors import NodeUnavailableError
+from _masticspoke.messages.control import NodeStatus
+from _masticspoke.model import Address
+
+
+def show_status(options: argparse.Namespace) -> int:
+    """Print a node's status, or that of all nodes that it knows.
+
+    :return: the exit code of :class:`NodeUnavailableError` when one of them gives
+        no answer.
+    """
+    node = address_option("node", options.node)
+    status, bodies = asyncio.run(ask_fleet(node, every=options.all))
+    if options.json:
+        _print_json(node, bodies, every=options.all)
+    elif options.all:
+        for address, body in bodies.items():
+            print(_line(address, body))
+    else:
+        _print_status(status)
+    silent = [a for a, body in bodies.items() if isinstance(body, PeerFault)]
+    if not silent:
+        return 0
+    print(
+        f"masticspoke: {len(silent)} of {len(bodies)} nodes gave no answer; "
+        "check that they run",
+        file=sys.stderr,
+    )
+    return NodeUnavailableError.exit_code
+
+
+def _print_json(
+    node: Address, bodies: dict[Address, bytes | PeerFault], *, every: bool
+) -> None:
+    found = {
+        str(address): {"fault": body.value}
+        if isinstance(body, PeerFault)
+        else json.loads(body)
+        for address, body in bodies.items()
+    }
+    print(json.dumps(found if every else found[str(node)]))
+
+
+def _print_status(status: NodeStatus) -> None:
+    print(f"catalogue version {status.catalogue_version}")
+    for member in status.members:
+        print(f"{member.service} {member.backend} node {member.node} {member.zone}")
+
+
+def _line(node: Address, body: bytes | PeerFault) -> str:
+    if isinstance(body, PeerFault):
+        return f"{node} no answer: {body.value}"
+    status = decode_status(body)
+    if status is None:
+        return f"{node} no answer: {PeerFault.MALFORMED.value}"
+    own = [m for m in status.members if m.node == node]
+    service = own[0].service if own else "no backend server"
+    return (
+        f"{node} {service} catalogue version {status.catalogue_version} "
+        f"members {len(status.members)}"
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/control/home_port.py
@@ -0,0 +1,41 @@
+"""What other homes ask of this node's home on the peer port."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from _masticspoke.border.once import decode_questions
+from _masticspoke.border.once import encode_confirmed
+from _masticspoke.border.once import MAX_CONFIRM_BYTES
+from _masticspoke.border.paths import KEEP_PATH
+from _masticspoke.control.home import HomeMessage
+from _masticspoke.decisions.once.model import Confirmed
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.entry.peers import ControlHandlers
+from _masticspoke.exchange import read_bounded
+from _masticspoke.exchange import refusal_response
+from _masticspoke.messages.once import KeepClaims
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.ask import ask
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+
+
+def home_handlers(home: Mailbox[HomeMessage], me: Identity) -> ControlHandlers:
+    """Return the handlers of requests from other homes."""
+
+    async def keep(request: web.BaseRequest) -> web.StreamResponse:
+        body = await read_bounded(request, MAX_CONFIRM_BYTES)
+        questions = None if body is None else decode_questions(body)
+        if questions is None:
+            detail = "malformed or too long request to keep claims"
+            return refusal_response(Refusal(Reason.MALFORMED, detail=detail))
+        reply: Reply[tuple[Confirmed, ...]] = Reply()
+        answers = await ask(home, KeepClaims(questions, reply), reply)
+        if answers is None:
+            return refusal_response(Refusal(Reason.BUSY))
+        encoded = encode_confirmed(me, answers)
+        return web.Response(body=encoded, content_type="application/json")
+
+    return {("POST", KEEP_PATH): keep}
--- /dev/null
+++ b/build/lib/_masticspoke/control/keeper.py
@@ -0,0 +1,263 @@
+"""The keeper: owns the catalogue and the members that are in force here.
+
+Its state outlives a crash of its task, so that no version is ever taken back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from _masticspoke.border.records import CATALOGUE_STREAM
+from _masticspoke.border.records import decode_catalogue
+from _masticspoke.border.records import decode_membership
+from _masticspoke.border.records import encode_record
+from _masticspoke.border.records import MEMBERS_STREAM
+from _masticspoke.control.knowledge import answer_waiting
+from _masticspoke.control.knowledge import apply_catalogue
+from _masticspoke.control.knowledge import apply_hints
+from _masticspoke.control.knowledge import KeeperState
+from _masticspoke.control.knowledge import mark_ready
+from _masticspoke.control.knowledge import republish
+from _masticspoke.control.upkeep import append
+from _masticspoke.control.upkeep import leave
+from _masticspoke.control.upkeep import missing_ends
+from _masticspoke.control.upkeep import upkeep
+from _masticspoke.decisions import own_backend
+from _masticspoke.decisions import silence
+from _masticspoke.decisions import snapshots
+from _masticspoke.decisions.catalogue import newest
+from _masticspoke.decisions.hints import Hint
+from _masticspoke.decisions.hints import take_news
+from _masticspoke.decisions.log_health import note
+from _masticspoke.decisions.log_health import Turn
+from _masticspoke.decisions.own_backend import refuse_announcement
+from _masticspoke.decisions.replay import Snapshot
+from _masticspoke.decisions.streams import read_catalogue
+from _masticspoke.decisions.streams import read_members
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
+from _masticspoke.messages.control import Announce
+from _masticspoke.messages.control import AskDigest
+from _masticspoke.messages.control import AskKnowledge
+from _masticspoke.messages.control import AskPosition
+from _masticspoke.messages.control import AskReady
+from _masticspoke.messages.control import AskStatus
+from _masticspoke.messages.control import BackendAnnounced
+from _masticspoke.messages.control import BackendLeaving
+from _masticspoke.messages.control import Digest
+from _masticspoke.messages.control import Knowledge
+from _masticspoke.messages.control import LogHealth
+from _masticspoke.messages.control import LogRecords
+from _masticspoke.messages.control import MemberSilent
+from _masticspoke.messages.control import NodeStatus
+from _masticspoke.messages.control import NodeStopping
+from _masticspoke.messages.control import PeerNews
+from _masticspoke.messages.control import PeersAsked
+from _masticspoke.messages.control import Resend
+from _masticspoke.messages.control import ViewsChanged
+from _masticspoke.model import LoadReport
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.supervisor import Clock
+
+KeeperMessage = (
+    LogRecords
+    | LogHealth
+    | AskPosition
+    | Announce
+    | BackendLeaving
+    | NodeStopping
+    | PeerNews
+    | PeersAsked
+    | MemberSilent
+    | AskReady
+    | AskDigest
+    | AskKnowledge
+    | AskStatus
+    | Resend
+)
+_TICK_S = 0.25
+
+
+def keeper(
+    inbox: Mailbox[KeeperMessage], state: KeeperState, clock: Clock
+) -> ChildBody:
+    """Return the body of the keeper's task."""
+
+    async def run(life: Lifecycle) -> None:
+        await serve(
+            inbox, state, _HANDLERS, clock, life, tick_s=_TICK_S, on_tick=upkeep
+        )
+
+    return run
+
+
+def _log_records(state: KeeperState, message: LogRecords, now: float) -> None:
+    _READ[message.stream](state, message, now)
+
+
+def _catalogue_read(state: KeeperState, message: LogRecords, now: float) -> None:
+    values = [(r.offset, decode_catalogue(r.data)) for r in message.records]
+    state.catalogue_log, refused = read_catalogue(
+        state.catalogue_log, message.oldest_offset, values
+    )
+    for change in refused:
+        log_event(Event.CATALOGUE_REJECTED, change=change.change_id)
+    for offset, value in values:
+        if isinstance(value, Snapshot):
+            state.catalogue_snapshot = snapshots.snapshot_seen(offset, now)
+    replay = state.catalogue_log
+    if replay.complete:
+        apply_catalogue(state, newest(state.catalogue, replay.state))
+    if message.at_end:
+        mark_ready(state)
+
+
+def _members_read(state: KeeperState, message: LogRecords, now: float) -> None:
+    values = [(r.offset, decode_membership(r.data)) for r in message.records]
+    before = state.members_log
+    step = read_members(before, message.oldest_offset, values)
+    state.members_log = step.replay
+    for offset, value in values:
+        if isinstance(value, Snapshot):
+            state.members_snapshot = snapshots.snapshot_seen(offset, now)
+    if step.replay.complete and step.replay.read_through != before.read_through:
+        state.publish(ViewsChanged(step.views, step.replay.read_through))
+    state.publish(message)
+    apply_hints(state, step.hints)
+    if message.at_end and not state.members_read:
+        state.members_read = True
+        answer_waiting(state)
+
+
+_READ: dict[str, Callable[[KeeperState, LogRecords, float], None]] = {
+    CATALOGUE_STREAM: _catalogue_read,
+    MEMBERS_STREAM: _members_read,
+}
+
+
+def _ask_ready(state: KeeperState, message: AskReady, now: float) -> None:
+    state.waiting.append(message.reply)
+    answer_waiting(state)
+
+
+def _ask_position(state: KeeperState, message: AskPosition, now: float) -> None:
+    replays = {
+        CATALOGUE_STREAM: state.catalogue_log.read_through,
+        MEMBERS_STREAM: state.members_log.read_through,
+    }
+    message.reply.answer(replays[message.stream] + 1)
+
+
+def _log_health(state: KeeperState, message: LogHealth, now: float) -> None:
+    state.log, turn = note(state.log, message.source, message.fault)
+    if turn is Turn.LOST:
+        log_event(Event.LOG_UNAVAILABLE, source=message.source, fault=message.fault)
+    if turn is Turn.BACK:
+        log_event(Event.LOG_AVAILABLE, source=message.source)
+    if message.fault:
+        state.publish(message)
+    _ready_without_log(state)
+
+
+def _announce(state: KeeperState, message: Announce, now: float) -> None:
+    catalogue = state.catalogue.catalogue
+    refusal = refuse_announcement(catalogue, message.member, stopping=state.stopping)
+    message.reply.answer(refusal)
+    if refusal is not None:
+        return
+    before = state.own
+    state.own = own_backend.announce(before, message.member, message.ttl_s, now)
+    member = state.own.member
+    if member is None:
+        return
+    state.publish(BackendAnnounced(member, message.ttl_s))
+    if member == before.member:
+        return
+    log_event(Event.BACKEND_ANNOUNCED, service=member.service, address=member.backend)
+    apply_hints(state, (own_backend.own_hint(state.own),))
+
+
+def _leaving(state: KeeperState, message: BackendLeaving, now: float) -> None:
+    leave(state, Event.BACKEND_LEAVING)
+
+
+def _node_stopping(state: KeeperState, message: NodeStopping, now: float) -> None:
+    state.stopping = True
+    leave(state, Event.BACKEND_LEAVING)
+
+
+def _peer_news(state: KeeperState, message: PeerNews, now: float) -> None:
+    apply_hints(state, message.hints)
+    if message.catalogue is not None:
+        apply_catalogue(state, newest(state.catalogue, message.catalogue))
+
+
+def _peers_asked(state: KeeperState, message: PeersAsked, now: float) -> None:
+    state.peers_asked = True
+    _ready_without_log(state)
+
+
+def _ready_without_log(state: KeeperState) -> None:
+    if state.peers_asked and not state.log.available:
+        mark_ready(state)
+        answer_waiting(state)
+
+
+def _member_silent(state: KeeperState, message: MemberSilent, now: float) -> None:
+    apply_hints(state, (Hint(message.node, message.incarnation),))
+    missing = missing_ends(state)
+    own = [left for left in missing if left.node == message.node]
+    if not own:
+        return
+    log_event(Event.MEMBER_SILENT, node=message.node)
+    # When many are silent at once, one node tells the log about all of them.
+    if len(missing) <= silence.FEW and state.log.available:
+        append(state, MEMBERS_STREAM, encode_record(own[0]))
+
+
+def _ask_digest(state: KeeperState, message: AskDigest, now: float) -> None:
+    state.hints, news = take_news(state.hints)
+    version = state.catalogue.catalogue.version
+    checksum = state.hints.checksum
+    message.reply.answer(Digest(state.own.node, version, checksum, news))
+
+
+def _ask_knowledge(state: KeeperState, message: AskKnowledge, now: float) -> None:
+    hints = tuple(state.hints.by_node.values())
+    message.reply.answer(Knowledge(state.catalogue, hints))
+
+
+def _ask_status(state: KeeperState, message: AskStatus, now: float) -> None:
+    message.reply.answer(
+        NodeStatus(
+            catalogue_version=state.catalogue.catalogue.version if state.ready else 0,
+            members=state.routing,
+            report=LoadReport(),
+        )
+    )
+
+
+def _resend(state: KeeperState, message: Resend, now: float) -> None:
+    republish(state, now)
+
+
+_HANDLERS: Handlers[KeeperState] = {
+    LogRecords: _log_records,
+    LogHealth: _log_health,
+    AskPosition: _ask_position,
+    Announce: _announce,
+    BackendLeaving: _leaving,
+    NodeStopping: _node_stopping,
+    PeerNews: _peer_news,
+    PeersAsked: _peers_asked,
+    MemberSilent: _member_silent,
+    AskReady: _ask_ready,
+    AskDigest: _ask_digest,
+    AskKnowledge: _ask_knowledge,
+    AskStatus: _ask_status,
+    Resend: _resend,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/control/peer_port.py
@@ -0,0 +1,144 @@
+"""Control requests that other nodes and the command line send to this node."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from _masticspoke.border.addresses import parse_address
+from _masticspoke.border.gossip import decode_digest
+from _masticspoke.border.gossip import encode_catalogue
+from _masticspoke.border.gossip import encode_digest
+from _masticspoke.border.gossip import encode_page
+from _masticspoke.border.gossip import MAX_DIGEST_BYTES
+from _masticspoke.border.gossip import ProbeAnswer
+from _masticspoke.border.gossip import ProbeModel
+from _masticspoke.border.paths import CATALOGUE_PATH
+from _masticspoke.border.paths import GOSSIP_PATH
+from _masticspoke.border.paths import MEMBERS_PATH
+from _masticspoke.border.paths import PING_PATH
+from _masticspoke.border.paths import PROBE_PATH
+from _masticspoke.border.paths import STATUS_PATH
+from _masticspoke.border.status import encode_status
+from _masticspoke.control.gossip import GossipMessage
+from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.peer_client import PeerClient
+from _masticspoke.control.peer_client import ping
+from _masticspoke.entry.listener import Handler
+from _masticspoke.entry.peers import ControlHandlers
+from _masticspoke.exchange import read_bounded
+from _masticspoke.exchange import refusal_response
+from _masticspoke.messages.control import AskDigest
+from _masticspoke.messages.control import AskKnowledge
+from _masticspoke.messages.control import AskStatus
+from _masticspoke.messages.control import Digest
+from _masticspoke.messages.control import Knowledge
+from _masticspoke.messages.control import NodeStatus
+from _masticspoke.messages.control import PeerAhead
+from _masticspoke.messages.control import PeerNews
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.ask import ask
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+
+
+def control_handlers(
+    keeper: Mailbox[KeeperMessage],
+    gossip: Mailbox[GossipMessage],
+    client: PeerClient,
+) -> ControlHandlers:
+    """Return the handlers of control requests on the peer port."""
+    return {
+        ("POST", GOSSIP_PATH): _exchange_handler(keeper, gossip),
+        ("GET", CATALOGUE_PATH): _catalogue_handler(keeper),
+        ("GET", MEMBERS_PATH): _members_handler(keeper),
+        ("GET", PING_PATH): _pinged,
+        ("POST", PROBE_PATH): _probe_handler(client),
+        ("GET", STATUS_PATH): _status_handler(keeper),
+    }
+
+
+def _exchange_handler(
+    keeper: Mailbox[KeeperMessage], gossip: Mailbox[GossipMessage]
+) -> Handler:
+    async def exchange(request: web.BaseRequest) -> web.StreamResponse:
+        body = await read_bounded(request, MAX_DIGEST_BYTES)
+        told = None if body is None else decode_digest(body)
+        if told is None:
+            return _malformed()
+        keeper.tell(PeerNews(told.news))
+        reply: Reply[Digest] = Reply()
+        digest = await ask(keeper, AskDigest(reply), reply)
+        if digest is None:
+            return _busy()
+        if told.catalogue_version > digest.catalogue_version:
+            gossip.tell(PeerAhead(told.sender))
+        return _json(encode_digest(digest))
+
+    return exchange
+
+
+def _catalogue_handler(keeper: Mailbox[KeeperMessage]) -> Handler:
+    async def catalogue(request: web.BaseRequest) -> web.StreamResponse:
+        known = await _knowledge(keeper)
+        return _busy() if known is None else _json(encode_catalogue(known.catalogue))
+
+    return catalogue
+
+
+def _members_handler(keeper: Mailbox[KeeperMessage]) -> Handler:
+    async def members(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            after = request.query.get("after")
+            start = None if after is None else parse_address(after)
+        except ValueError:
+            return _malformed()
+        known = await _knowledge(keeper)
+        return _busy() if known is None else _json(encode_page(known.hints, start))
+
+    return members
+
+
+def _probe_handler(client: PeerClient) -> Handler:
+    async def probe(request: web.BaseRequest) -> web.StreamResponse:
+        body = await read_bounded(request, MAX_DIGEST_BYTES)
+        try:
+            node = ProbeModel.model_validate_json(body or b"").node
+        except ValueError:
+            return _malformed()
+        reached = await ping(client, node)
+        return _json(ProbeAnswer(reached=reached).model_dump_json().encode())
+
+    return probe
+
+
+def _status_handler(keeper: Mailbox[KeeperMessage]) -> Handler:
+    async def status(request: web.BaseRequest) -> web.StreamResponse:
+        reply: Reply[NodeStatus] = Reply()
+        found = await ask(keeper, AskStatus(reply), reply)
+        return _busy() if found is None else _json(encode_status(found))
+
+    return status
+
+
+async def _pinged(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(status=204)
+
+
+async def _knowledge(keeper: Mailbox[KeeperMessage]) -> Knowledge | None:
+    reply: Reply[Knowledge] = Reply()
+    return await ask(keeper, AskKnowledge(reply), reply)
+
+
+def _json(body: bytes) -> web.Response:
+    return web.Response(body=body, content_type="application/json")
+
+
+def _busy() -> web.Response:
+    return refusal_response(Refusal(Reason.BUSY))
+
+
+def _malformed() -> web.Response:
+    return refusal_response(
+        Refusal(Reason.MALFORMED, detail="malformed or too long control request")
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/baselines.py
@@ -0,0 +1,83 @@
+"""Simple admission that the guard is measured against; no node uses it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from heapq import heappop
+from heapq import heappush
+from typing import final
+
+from _masticspoke.decisions.effects import Effect
+from _masticspoke.decisions.effects import Refuse
+from _masticspoke.decisions.effects import Run
+from _masticspoke.model import Call
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+
+Order = Callable[[Call], int]
+
+
+@final
+@dataclass(slots=True)
+class BaselineState:
+    """Calls that run and wait under a static limit.
+
+    :param limit: calls that run at once; ``None`` for no control at all.
+    :param queue_length: calls that may wait.
+    :param order: calls with a lower number start first.
+    """
+
+    limit: int | None
+    queue_length: int
+    order: Order
+    running: int = 0
+    waiting: dict[int, Call] = field(default_factory=dict)
+    heap: list[tuple[int, int]] = field(default_factory=list)
+
+
+def fifo(call: Call) -> int:
+    """Order calls as they came."""
+    return 0
+
+
+def strict_priority(call: Call) -> int:
+    """Order calls by rank alone."""
+    return call.rank
+
+
+def arrive(
+    state: BaselineState, ticket: int, call: Call, now: float
+) -> tuple[Effect, ...]:
+    """Admit, queue or refuse an arriving call."""
+    if state.limit is None or state.running < state.limit:
+        state.running += 1
+        return (Run(ticket),)
+    if len(state.waiting) >= state.queue_length:
+        return (Refuse(ticket, Refusal(Reason.QUEUE_FULL)),)
+    state.waiting[ticket] = call
+    heappush(state.heap, (state.order(call), ticket))
+    return ()
+
+
+def finish(state: BaselineState, now: float) -> tuple[Effect, ...]:
+    """Free the slot of a finished call and start what waits."""
+    state.running -= 1
+    effects: list[Effect] = []
+    while state.waiting and (state.limit is None or state.running < state.limit):
+        _, ticket = heappop(state.heap)
+        call = state.waiting.pop(ticket, None)
+        if call is None:
+            continue
+        if now >= call.deadline:
+            effects.append(Refuse(ticket, Refusal(Reason.DEADLINE_PASSED)))
+            continue
+        state.running += 1
+        effects.append(Run(ticket))
+    return tuple(effects)
+
+
+def withdraw(state: BaselineState, ticket: int) -> None:
+    """Forget a queued call whose caller went away."""
+    state.waiting.pop(ticket, None)
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions of a node on a platform that announces backend servers by heartbeats."""
+
+from __future__ import annotations
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/fleet/placing.py
@@ -0,0 +1,229 @@
+"""Choose the backend server of a request: by load, speed, failures and zone.
+
+It answers load that is uneven: servers of different speed, slow or failing ones among
+sound ones, and servers that join or leave.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import final
+
+from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import GuardLoad
+from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.model import Address
+
+# Of larger services, this many servers of the own zone and of any zone are compared.
+SAMPLE = 6
+# Time that a certain failure counts for: a repeat and what it costs others, seconds.
+FAILURE_COST_S = 2.0
+# A failure's weight in the smoothed failure ratio, and a success's.
+FAILURE_WEIGHT = 0.15
+SUCCESS_WEIGHT = 0.05
+# The failure ratio halves in this time, so that a server is tried again, seconds.
+FAILURE_HALF_LIFE_S = 3.0
+# Own-zone servers are taken below this utilisation and failure ratio.
+NEAR_UTILISATION = 0.75
+NEAR_FAILURES = 0.1
+# Random part of a cost, so that senders with equal reports differ.
+JITTER = 0.15
+# A report loses its weight against the own count after this time, seconds.
+REPORT_AGE_S = 1.0
+# Run time assumed of a server that has not reported yet, seconds.
+UNKNOWN_RUN_S = 0.05
+# First pause after a server could not be used, by reason; doubled each time, seconds.
+FIRST_PAUSE_S = {
+    NotRun.UNREACHABLE: 1.0,
+    NotRun.ABSENT: 0.4,
+    NotRun.LEAVING: 2.0,
+    NotRun.MOVED: 0.5,
+}
+MAX_PAUSE_S = 8.0
+
+
+@final
+@dataclass(slots=True)
+class Seen:
+    """What this node has seen of one server.
+
+    :param outstanding: own requests without an answer.
+    :param since: own sends since the last report.
+    :param failures: smoothed ratio of failed requests at ``failures_at``.
+    :param paused_until: not used before.
+    :param pause_s: length of the last pause.
+    """
+
+    outstanding: int = 0
+    since: int = 0
+    load: GuardLoad = field(default_factory=GuardLoad)
+    load_at: float | None = None
+    failures: float = 0.0
+    failures_at: float = 0.0
+    paused_until: float = 0.0
+    pause_s: float = 0.0
+
+
+@final
+@dataclass(slots=True)
+class Placing:
+    """What this node has seen of each server.
+
+    :param zone: availability zone of this node.
+    """
+
+    zone: str
+    seen: dict[Address, Seen] = field(default_factory=dict)
+
+
+def choose(
+    placing: Placing,
+    servers: Sequence[BackendServer],
+    tried: Collection[Address],
+    now: float,
+    random: Random,
+) -> BackendServer | None:
+    """Return the server to send to, or ``None`` if there is none to use.
+
+    :param tried: addresses that this request has been sent to.
+    """
+    usable = [
+        server
+        for server in servers
+        if server.backend not in tried
+        and _seen(placing, server.backend).paused_until <= now
+    ]
+    if not usable:
+        return None
+    near = [server for server in usable if server.zone == placing.zone]
+    best_near = _least(placing, _sample(near, random), now, random)
+    if best_near is not None and _has_room(placing, best_near, now):
+        return best_near
+    return _least(placing, _sample(usable, random) + _sample(near, random), now, random)
+
+
+def _sample(servers: list[BackendServer], random: Random) -> list[BackendServer]:
+    return servers if len(servers) <= SAMPLE else random.sample(servers, SAMPLE)
+
+
+def _least(
+    placing: Placing, servers: Sequence[BackendServer], now: float, random: Random
+) -> BackendServer | None:
+    if not servers:
+        return None
+    return min(
+        servers,
+        key=lambda s: expected_s(placing, s, now) * (1 + JITTER * random.random()),
+    )
+
+
+def expected_s(placing: Placing, server: BackendServer, now: float) -> float:
+    """Return the expected time of a request at a server, with its risk of failing."""
+    seen = _seen(placing, server.backend)
+    run_s = seen.load.run_s if seen.load_at is not None else UNKNOWN_RUN_S
+    limit = _limit(seen, server)
+    used = _in_system(seen, now)
+    wait_s = max(0.0, used + 1 - limit) / limit * run_s
+    slowed_s = run_s * (used / limit) ** 2
+    return 0.001 + run_s + wait_s + slowed_s + _failures(seen, now) * FAILURE_COST_S
+
+
+def _has_room(placing: Placing, server: BackendServer, now: float) -> bool:
+    seen = _seen(placing, server.backend)
+    used = (_in_system(seen, now) + 1) / _limit(seen, server)
+    return used <= NEAR_UTILISATION and _failures(seen, now) < NEAR_FAILURES
+
+
+def _limit(seen: Seen, server: BackendServer) -> int:
+    return max(1, seen.load.limit if seen.load_at is not None else server.slots)
+
+
+def _in_system(seen: Seen, now: float) -> float:
+    reported = 0.0
+    if seen.load_at is not None:
+        weight = max(0.0, 1.0 - (now - seen.load_at) / REPORT_AGE_S)
+        reported = (seen.load.running + seen.load.queued + seen.since) * weight
+    return max(float(seen.outstanding), reported)
+
+
+def _failures(seen: Seen, now: float) -> float:
+    age = max(0.0, now - seen.failures_at)
+    return float(seen.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S))
+
+
+def _seen(placing: Placing, address: Address) -> Seen:
+    seen = placing.seen.get(address)
+    if seen is None:
+        seen = placing.seen[address] = Seen()
+    return seen
+
+
+def record_sent(placing: Placing, address: Address) -> None:
+    """Note that a request goes to ``address``."""
+    seen = _seen(placing, address)
+    seen.outstanding += 1
+    seen.since += 1
+
+
+def record_end(
+    placing: Placing,
+    address: Address,
+    failed: bool | None,
+    load: GuardLoad | None,
+    now: float,
+) -> None:
+    """Note how a request at ``address`` ended.
+
+    :param failed: ``None`` when the end says nothing about the server.
+    """
+    seen = _seen(placing, address)
+    seen.outstanding = max(0, seen.outstanding - 1)
+    if load is not None:
+        seen.load, seen.load_at, seen.since = load, now, 0
+    if failed is None:
+        return
+    weight = FAILURE_WEIGHT if failed else SUCCESS_WEIGHT
+    seen.failures = _failures(seen, now) * (1 - weight) + weight * failed
+    seen.failures_at = now
+    if not failed:
+        seen.pause_s = 0.0
+
+
+def record_unusable(
+    placing: Placing, address: Address, reason: NotRun, now: float
+) -> bool:
+    """Note that the server did not take a request; return whether that is news."""
+    first = FIRST_PAUSE_S.get(reason)
+    if first is None:
+        return False
+    seen = _seen(placing, address)
+    news = seen.paused_until <= now
+    if news:
+        seen.pause_s = min(MAX_PAUSE_S, max(first, seen.pause_s * 2))
+        seen.paused_until = now + seen.pause_s
+    return news
+
+
+def record_joined(placing: Placing, address: Address) -> None:
+    """Forget what was seen of the server that was at ``address`` before."""
+    outstanding = _seen(placing, address).outstanding
+    placing.seen[address] = Seen(outstanding=outstanding)
+
+
+def unreachable(placing: Placing, now: float) -> tuple[Address, ...]:
+    """Return the addresses that are not used at present, to be probed."""
+    return tuple(a for a, seen in placing.seen.items() if seen.paused_until > now)
+
+
+def pressure_s(placing: Placing, addresses: Collection[Address], now: float) -> float:
+    """Return the least wait that any of the servers reported for nested work."""
+    recent = [
+        seen.load.pressure_s
+        for seen in (_seen(placing, address) for address in addresses)
+        if seen.load_at is not None and now - seen.load_at < REPORT_AGE_S
+    ]
+    return sum(recent) / len(recent) if recent else 0.0
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/once/ledger.py
@@ -0,0 +1,136 @@
+"""Reduce views, claims and seals of one service, in the log's order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import final
+
+from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import CONTESTED
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import Kept
+from _masticspoke.decisions.once.model import OnceLimits
+from _masticspoke.decisions.once.model import OnceRecord
+from _masticspoke.decisions.once.model import OpenView
+from _masticspoke.decisions.once.model import Seal
+from _masticspoke.decisions.once.rules import is_member
+from _masticspoke.decisions.once.rules import Rules
+from _masticspoke.decisions.once.rules import seals_needed
+from _masticspoke.model import View
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """Who may have run a key; :data:`CONTESTED` if that may be one of several.
+
+    :param counted: whether the writer's own claim counts in the log, which gives
+        it the right to run the key; otherwise it was kept by a member.
+    :param read_at: when the record was read.
+    """
+
+    writer: Identity
+    counted: bool
+    read_at: float
+
+
+@final
+@dataclass(slots=True)
+class Ledger:
+    """What the log says about one service.
+
+    :param view: newest view read from the log.
+    :param old: earlier views that are not closed for all keys, oldest first.
+    :param claims: by digest; insertion is in order of time.
+    """
+
+    view: View
+    old: list[OpenView] = field(default_factory=list)
+    claims: dict[str, Claimed] = field(default_factory=dict)
+
+
+def reduce(
+    ledger: Ledger,
+    item: View | OnceRecord,
+    me: Identity,
+    rules: Rules,
+    limits: OnceLimits,
+    now: float,
+) -> None:
+    """Apply one view or record.
+
+    :param me: this process; it seals an old view by knowing a newer one.
+    """
+    if isinstance(item, View):
+        _next_view(ledger, item, me, limits, now)
+        return
+    _REDUCERS[type(item)](ledger, item, rules, now)
+
+
+def _next_view(
+    ledger: Ledger, view: View, me: Identity, limits: OnceLimits, now: float
+) -> None:
+    before = ledger.view
+    if view.number <= before.number:
+        return
+    if before.members:
+        expires = now + limits.outage_limit_s + limits.key_lifetime_s
+        seals = {me} if is_member(before, me) else set()
+        ledger.old.append(OpenView(before, expires, seals))
+    ledger.view = view
+    _prune(ledger, now)
+
+
+def _claim(ledger: Ledger, claim: Claim, rules: Rules, now: float) -> None:
+    known = ledger.claims.get(claim.digest)
+    if known is not None and (known.counted or known.writer != claim.writer):
+        return
+    if rules.claim_counts(ledger.view, claim):
+        ledger.claims[claim.digest] = Claimed(claim.writer, True, now)
+
+
+def _kept(ledger: Ledger, kept: Kept, rules: Rules, now: float) -> None:
+    for claim in kept.claims:
+        known = ledger.claims.get(claim.digest)
+        if known is None:
+            ledger.claims[claim.digest] = Claimed(claim.writer, False, now)
+        elif not known.counted and known.writer != claim.writer:
+            ledger.claims[claim.digest] = Claimed(CONTESTED, False, known.read_at)
+
+
+def _seal(ledger: Ledger, seal: Seal, rules: Rules, now: float) -> None:
+    for old in ledger.old:
+        if old.view.number <= seal.through and is_member(old.view, seal.member):
+            old.seals.add(seal.member)
+    _prune(ledger, now)
+
+
+def _prune(ledger: Ledger, now: float) -> None:
+    ledger.old = [old for old in ledger.old if not _closed_for_all(old, now)]
+
+
+def _closed_for_all(old: OpenView, now: float) -> bool:
+    members = len(old.view.members)
+    return now >= old.expires or len(old.seals) >= seals_needed(members)
+
+
+def forget_expired(ledger: Ledger, limits: OnceLimits, now: float) -> None:
+    """Drop claims whose keys no client sends any more."""
+    for digest, claimed in list(ledger.claims.items()):
+        if now - claimed.read_at < limits.key_lifetime_s + limits.outage_limit_s:
+            return
+        del ledger.claims[digest]
+
+
+def is_open(ledger: Ledger, digest: str, rules: Rules, now: float) -> bool:
+    """Whether an earlier home may have run a key without a trace here yet."""
+    return not all(rules.is_closed(old, digest, now) for old in ledger.old)
+
+
+_REDUCERS: dict[type, Callable[..., None]] = {
+    Claim: _claim,
+    Kept: _kept,
+    Seal: _seal,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/once/state.py
@@ -0,0 +1,138 @@
+"""State of the at-most-once protocol at one node."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import final
+
+from _masticspoke.decisions.once.answers import Answers
+from _masticspoke.decisions.once.ledger import Ledger
+from _masticspoke.decisions.once.model import Claim
+from _masticspoke.decisions.once.model import CONTESTED
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import OnceEffect
+from _masticspoke.decisions.once.model import OnceLimits
+from _masticspoke.decisions.once.model import Reply
+from _masticspoke.decisions.once.model import Result
+from _masticspoke.decisions.once.rules import RULES
+from _masticspoke.decisions.once.rules import Rules
+from _masticspoke.model import Ran
+from _masticspoke.model import View
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+
+OUTCOME_UNKNOWN = Refusal(Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+NEVER = float("-inf")
+
+
+@final
+class Phase(Enum):
+    """Where a key stands at its home."""
+
+    WAITING = "the right to run it is not granted yet"
+    RUNNING = "handed to a backend server, or about to be"
+    REFUSED = "the right to run it is held; it did not run"
+    ANSWERED = "ran; the answer may be stored"
+    UNKNOWN = "may have run; its answer was lost"
+
+
+@final
+@dataclass(slots=True)
+class Key:
+    """One key at its home.
+
+    :param tickets: askers that wait.
+    :param view: number of the view in which it is claimed.
+    :param confirmed: members that keep that claim.
+    """
+
+    service: str
+    digest: str
+    fingerprint: int
+    since: float
+    phase: Phase = Phase.WAITING
+    tickets: tuple[int, ...] = ()
+    view: int = 0
+    confirmed: frozenset[Identity] = frozenset()
+    claim_sent_at: float = NEVER
+    asked_at: float = NEVER
+    changed_at: float = NEVER
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeptClaim:
+    """A claim that this node keeps until the log has it."""
+
+    claim: Claim
+    since: float
+
+
+@final
+@dataclass(slots=True)
+class UnreadSeal:
+    """A seal of this node that it has not read back from the log yet."""
+
+    through: int
+    sent_at: float
+
+
+@final
+@dataclass(slots=True)
+class OnceState:
+    """All that one process knows; lost with the process.
+
+    :param keys: by digest, for which this node is or was home.
+    :param waiting: those of ``keys`` that wait for the right to run.
+    :param kept: claims that this node confirmed and has not read from the log.
+    :param unread_seals: by service.
+    :param log_silent: whether a claim was not read back in time, and nothing since;
+        further claims are put to the members at once.
+    :param last_read_at: when records or the end of the log were last read.
+    """
+
+    me: Identity
+    limits: OnceLimits = field(default_factory=OnceLimits)
+    rules: Rules = RULES
+    ledgers: dict[str, Ledger] = field(default_factory=dict)
+    keys: dict[str, Key] = field(default_factory=dict)
+    waiting: dict[str, Key] = field(default_factory=dict)
+    kept: dict[str, KeptClaim] = field(default_factory=dict)
+    unread_seals: dict[str, UnreadSeal] = field(default_factory=dict)
+    answers: Answers = field(default_factory=Answers)
+    last_read_at: float = NEVER
+    log_silent: bool = False
+    own_claims_sent_at: float = NEVER
+    next_forgetting_at: float = NEVER
+
+
+def ledger_of(state: OnceState, service: str) -> Ledger:
+    """Return the ledger of a service; an empty one if nothing was read of it."""
+    ledger = state.ledgers.get(service)
+    if ledger is None:
+        ledger = state.ledgers[service] = Ledger(View(service))
+    return ledger
+
+
+def known_writer(state: OnceState, ledger: Ledger, digest: str) -> Identity | None:
+    """Return who may have run a key, as far as the log and this node know."""
+    claimed, kept = ledger.claims.get(digest), state.kept.get(digest)
+    if kept is None:
+        return None if claimed is None else claimed.writer
+    if claimed is None or claimed.writer == kept.claim.writer:
+        return kept.claim.writer
+    return claimed.writer if claimed.counted else CONTESTED
+
+
+def reply_all(key: Key, result: Result) -> list[OnceEffect]:
+    """Answer all that wait for a key."""
+    tickets, key.tickets = key.tickets, ()
+    return replies(tickets, result)
+
+
+def replies(tickets: Iterable[int], result: Result) -> list[OnceEffect]:
+    """Give the same result to several askers."""
+    return [Reply(ticket, result) for ticket in tickets]
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/peers.py
@@ -0,0 +1,212 @@
+"""What a node knows of the members it sends calls to: load, latency, ejection."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from statistics import median
+from typing import final
+
+from _masticspoke.model import Address
+from _masticspoke.model import LoadReport
+from _masticspoke.model import Member
+
+FAILURES_TO_EJECT = 3
+SAMPLES_TO_EJECT = 10
+SLOW_SAMPLES_TO_EJECT = 5
+STRAGGLER_FACTOR = 3.0
+STRAGGLER_MARGIN_S = 0.01
+MAX_EJECTED_SHARE = 1 / 3
+EJECTION_S = 5.0
+MAX_EJECTION_S = 60.0
+SLOW_START_S = 10.0
+SLOW_START_SHARE = 0.1
+LEAVING_TTL_S = 30.0
+LATENCY_HALF_LIFE_S = 10.0
+_SMOOTHING = 0.2
+_LONG_AGO = float("-inf")
+
+
+@final
+@dataclass(slots=True)
+class Peer:
+    """A member, as seen from this node.
+
+    :param since: when it may take work; its share grows from then on.
+    :param reported_at: when its guard sent ``report``.
+    :param outstanding: own attempts under way there.
+    :param latency_s: smoothed time to the head of its answers.
+    :param sampled_at: when the last latency was learnt.
+    :param samples: latencies in ``latency_s``.
+    :param slow: samples in a row that left it far behind the others.
+    :param failures: failed attempts in a row.
+    :param ejections: ejections in a row.
+    """
+
+    member: Member
+    since: float = _LONG_AGO
+    report: LoadReport | None = None
+    reported_at: float = _LONG_AGO
+    outstanding: int = 0
+    latency_s: float = 0.0
+    sampled_at: float = _LONG_AGO
+    samples: int = 0
+    slow: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = _LONG_AGO
+
+
+@final
+@dataclass(slots=True)
+class Peers:
+    """All members that this node knows.
+
+    :param own: peer address of this node.
+    :param zone: availability zone of this node.
+    """
+
+    own: Address
+    zone: str
+    by_node: dict[Address, Peer] = field(default_factory=dict)
+    by_service: dict[str, list[Peer]] = field(default_factory=dict)
+
+
+def replace_members(peers: Peers, members: Iterable[Member], now: float) -> None:
+    """Take over the members; new ones start slowly, unless all are new."""
+    known = peers.by_node
+    since = now if known else _LONG_AGO
+    peers.by_node = {}
+    peers.by_service = {}
+    for member in members:
+        peer = known.get(member.node)
+        if peer is None or peer.member.incarnation != member.incarnation:
+            # A report that was asked for earlier is of the process before.
+            peer = Peer(member, since, reported_at=now)
+        peer.member = member
+        peers.by_node[member.node] = peer
+        peers.by_service.setdefault(member.service, []).append(peer)
+
+
+def record_sent(peers: Peers, node: Address) -> None:
+    """Count an attempt that goes out."""
+    peer = peers.by_node.get(node)
+    if peer is not None:
+        peer.outstanding += 1
+
+
+def record_ended(peers: Peers, node: Address) -> None:
+    """Count an attempt that is over."""
+    peer = peers.by_node.get(node)
+    if peer is not None:
+        peer.outstanding = max(0, peer.outstanding - 1)
+
+
+def record_report(
+    peers: Peers, node: Address, report: LoadReport | None, sent_at: float
+) -> None:
+    """Keep a guard's report, unless a later one is known."""
+    peer = peers.by_node.get(node)
+    if peer is None or report is None or sent_at < peer.reported_at:
+        return
+    peer.report = report
+    peer.reported_at = sent_at
+
+
+def record_latency(peers: Peers, node: Address, latency_s: float, now: float) -> None:
+    """Learn from an answer's latency; eject a straggler."""
+    peer = peers.by_node.get(node)
+    if peer is None:
+        return
+    peer.failures = 0
+    _learn_latency(peers, peer, latency_s, now)
+
+
+def record_wait(peers: Peers, node: Address, waited_s: float, now: float) -> None:
+    """Learn from a caller that went away: the answer takes longer than it waited."""
+    peer = peers.by_node.get(node)
+    if peer is not None and waited_s > peer.latency_s:
+        _learn_latency(peers, peer, waited_s, now)
+
+
+def record_failure(peers: Peers, node: Address, now: float) -> None:
+    """Learn from an attempt that failed without an answer; eject after several."""
+    peer = peers.by_node.get(node)
+    if peer is None:
+        return
+    peer.failures += 1
+    if peer.failures >= FAILURES_TO_EJECT:
+        _eject(peers, peer, now)
+
+
+def recent_latency_s(peer: Peer, now: float) -> float:
+    """Return a member's latency; the older it is, the less it counts against it."""
+    if peer.samples == 0:
+        return 0.0
+    age_s = max(0.0, now - peer.sampled_at)
+    return peer.latency_s * math.exp2(-age_s / LATENCY_HALF_LIFE_S)
+
+
+def is_leaving(peer: Peer, now: float) -> bool:
+    """Return whether a member said that it takes no new work."""
+    report = peer.report
+    fresh = now - peer.reported_at < LEAVING_TTL_S
+    return report is not None and report.leaving and fresh
+
+
+def share(peer: Peer, now: float) -> float:
+    """Return the part of its work that a member is to get, from 0 to 1.
+
+    Ejected members get nothing; a member that joined or came back gets more and
+    more, for caches and just-in-time compilers take time.
+    """
+    if now < peer.ejected_until:
+        return 0.0
+    age_s = now - max(peer.since, peer.ejected_until)
+    return min(1.0, max(SLOW_START_SHARE, age_s / SLOW_START_S))
+
+
+def _learn_latency(peers: Peers, peer: Peer, latency_s: float, now: float) -> None:
+    _add_sample(peer, latency_s, now)
+    peer.slow = peer.slow + 1 if _is_far_behind(peers, peer) else 0
+    if peer.slow >= SLOW_SAMPLES_TO_EJECT:
+        _eject(peers, peer, now)
+
+
+def _add_sample(peer: Peer, latency_s: float, now: float) -> None:
+    peer.samples += 1
+    peer.sampled_at = now
+    weight = max(_SMOOTHING, 1 / peer.samples)
+    peer.latency_s += weight * (latency_s - peer.latency_s)
+
+
+def _is_far_behind(peers: Peers, peer: Peer) -> bool:
+    if peer.samples < SAMPLES_TO_EJECT:
+        return False
+    others = [
+        p.latency_s
+        for p in peers.by_service.get(peer.member.service, ())
+        if p is not peer and p.samples >= SAMPLES_TO_EJECT
+    ]
+    if not others:
+        return False
+    usual_s = median(others)
+    bound_s = max(STRAGGLER_FACTOR * usual_s, usual_s + STRAGGLER_MARGIN_S)
+    return peer.latency_s > bound_s
+
+
+def _eject(peers: Peers, peer: Peer, now: float) -> None:
+    fellows = peers.by_service.get(peer.member.service, [])
+    ejected = sum(1 for p in fellows if now < p.ejected_until)
+    if now < peer.ejected_until or ejected + 1 > len(fellows) * MAX_EJECTED_SHARE:
+        return
+    came_back_s = now - peer.ejected_until
+    peer.ejections = peer.ejections + 1 if came_back_s < MAX_EJECTION_S else 1
+    peer.ejected_until = now + min(
+        MAX_EJECTION_S, EJECTION_S * math.exp2(peer.ejections - 1)
+    )
+    peer.samples = 0
+    peer.slow = 0
+    peer.failures = 0
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/resumption.py
@@ -0,0 +1,62 @@
+"""Decide whether the rest of a broken answer can be fetched elsewhere."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import final
+
+from _masticspoke.model import Call
+
+_OK = 200
+_PARTIAL = 206
+_CONTENT_RANGE = re.compile(r"bytes (\d+)-(\d+)/(\d+)")
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What an answer's head tells about its body.
+
+    :param etag: the entity tag as it was sent; empty if there is none.
+    :param ranges: whether the server accepts ranges of bytes.
+    :param length: bytes of the body; ``None`` if it is not told.
+    :param content_range: empty if there is none.
+    """
+
+    status: int
+    etag: str
+    ranges: bool
+    length: int | None
+    content_range: str = ""
+
+
+def is_resumable(
+    call: Call, method: str, head: AnswerHead, *, asked_range: bool
+) -> bool:
+    """Return whether the rest of a whole answer may come from another server.
+
+    :param asked_range: whether the caller itself asked for a range.
+    """
+    return (
+        method == "GET"
+        and call.idempotent
+        and not asked_range
+        and head.status == _OK
+        and head.ranges
+        and head.etag.startswith('"')
+        and head.length is not None
+    )
+
+
+def continues(first: AnswerHead, sent: int, part: AnswerHead) -> bool:
+    """Return whether ``part`` is the rest of ``first`` after ``sent`` bytes."""
+    match = _CONTENT_RANGE.fullmatch(part.content_range)
+    if part.status != _PARTIAL or match is None or first.length is None:
+        return False
+    begin, last, total = (int(number) for number in match.groups())
+    return (
+        (begin, last, total) == (sent, first.length - 1, first.length)
+        and part.etag == first.etag
+        and part.length in (None, first.length - sent)
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/decisions/shares.py
@@ -0,0 +1,65 @@
+"""Shares of a guard's limit that the catalogue keeps or allows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from math import ceil
+from typing import final
+
+from _masticspoke.model import Catalogue
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Floors and caps as fractions of a guard's limit.
+
+    :param classes: kept for each rank.
+    :param entries: kept for each (rank, kind).
+    :param caps: most that a kind may hold; kinds without a cap are absent.
+    """
+
+    classes: dict[int, float] = field(default_factory=dict)
+    entries: dict[tuple[int, str], float] = field(default_factory=dict)
+    caps: dict[str, float] = field(default_factory=dict)
+
+
+def shares_of(catalogue: Catalogue) -> Shares:
+    """Return the shares that a catalogue states."""
+    classes = {
+        c.rank: c.floor_percent / 100 for c in catalogue.classes if c.floor_percent > 0
+    }
+    entries = {
+        (e.rank, e.kind): classes[e.rank] * e.floor_percent / 100
+        for e in catalogue.entries
+        if e.floor_percent > 0 and e.rank in classes
+    }
+    caps = {
+        e.kind: e.limit_percent / 100
+        for e in catalogue.entries
+        if e.limit_percent < 100
+    }
+    return Shares(classes, entries, caps)
+
+
+def cap_of(shares: Shares, kind: str, limit: int) -> int | None:
+    """Return how many calls of a kind may run at once, if the catalogue says so."""
+    share = shares.caps.get(kind)
+    return None if share is None else max(1, int(share * limit))
+
+
+def unused_floors(
+    floors: dict[int, float], held: dict[int, int], whole: int, except_rank: int
+) -> int:
+    """Return what is kept for other classes and not held by them.
+
+    :param floors: share kept for each rank.
+    :param held: slots or places that each rank holds.
+    :param whole: all slots or places.
+    """
+    return sum(
+        max(0, ceil(share * whole) - held.get(rank, 0))
+        for rank, share in floors.items()
+        if rank != except_rank
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/dispatch/branch.py
@@ -0,0 +1,27 @@
+"""The branch dispatch."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+from _masticspoke.connections import connection_owner
+from _masticspoke.dispatch.router import router
+from _masticspoke.parts import informed
+from _masticspoke.parts import Parts
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.supervisor import ChildSpec
+from _masticspoke.supervise.supervisor import supervisor
+
+
+def dispatch_branch(parts: Parts) -> ChildBody:
+    """Return the supervisor of the router."""
+    settings = parts.settings
+    node = settings.node
+    connect_s = settings.limits.connect_timeout_ms / 1000
+    route = router(parts.router, time.monotonic, node.peer_address, node.zone, Random())
+    children = (
+        ChildSpec("connections", connection_owner(parts.to_nodes, connect_s), 1.0),
+        ChildSpec("router", informed(parts, route)),
+    )
+    return supervisor("dispatch", children, time.monotonic)
--- /dev/null
+++ b/build/lib/_masticspoke/dispatch/router.py
@@ -0,0 +1,219 @@
+"""The router: classifies requests, chooses backend servers, allows retries."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from random import Random
+from typing import final
+
+from _masticspoke.decisions import peers
+from _masticspoke.decisions.bucket import record_success
+from _masticspoke.decisions.bucket import RetryBucket
+from _masticspoke.decisions.classify import classify
+from _masticspoke.decisions.peers import Peers
+from _masticspoke.decisions.resends import Actions
+from _masticspoke.decisions.resends import begin_action
+from _masticspoke.decisions.resends import end_action
+from _masticspoke.decisions.retry import Attempt
+from _masticspoke.decisions.retry import backoff_s
+from _masticspoke.decisions.retry import first_attempt
+from _masticspoke.decisions.retry import next_attempt
+from _masticspoke.decisions.retry import truthful
+from _masticspoke.decisions.retry import with_retry_after
+from _masticspoke.decisions.routing import choose_member
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.control import MembersChanged
+from _masticspoke.messages.dispatch import AttemptEnded
+from _masticspoke.messages.dispatch import AttemptFailed
+from _masticspoke.messages.dispatch import Begin
+from _masticspoke.messages.dispatch import CallEnded
+from _masticspoke.messages.dispatch import Resume
+from _masticspoke.messages.dispatch import Target
+from _masticspoke.model import Address
+from _masticspoke.model import Call
+from _masticspoke.model import Catalogue
+from _masticspoke.model import EMPTY_CATALOGUE
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.supervisor import Clock
+
+RouterMessage = (
+    Begin
+    | Resume
+    | AttemptFailed
+    | AttemptEnded
+    | CallEnded
+    | CatalogueChanged
+    | MembersChanged
+)
+# Members that fail so are avoided, and ejected when it goes on.
+_FAILURES = frozenset(
+    {
+        Reason.NO_BACKEND_SERVER,
+        Reason.BACKEND_UNREACHABLE,
+        Reason.BACKEND_FAILED,
+        Reason.BACKEND_SHED,
+        Reason.NODE_UNREACHABLE,
+        Reason.NODE_FAILED,
+    }
+)
+
+
+@final
+@dataclass(slots=True)
+class _RouterState:
+    peers: Peers
+    random: Random
+    catalogue: Catalogue = EMPTY_CATALOGUE
+    actions: Actions = field(default_factory=Actions)
+    buckets: dict[str, RetryBucket] = field(default_factory=dict)
+
+
+def router(
+    inbox: Mailbox[RouterMessage],
+    clock: Clock,
+    own: Address,
+    zone: str,
+    random: Random,
+) -> ChildBody:
+    """Return the body of the router's task.
+
+    :param own: peer address of this node.
+    :param zone: availability zone of this node.
+    """
+
+    async def run(life: Lifecycle) -> None:
+        state = _RouterState(Peers(own, zone), random)
+        await serve(inbox, state, _HANDLERS, clock, life)
+
+    return run
+
+
+def _begin(state: _RouterState, message: Begin, now: float) -> None:
+    message.reply.answer(_first_target(state, message, now))
+
+
+def _resume(state: _RouterState, message: Resume, now: float) -> None:
+    message.reply.answer(_target(state, first_attempt(message.call), now))
+
+
+def _first_target(state: _RouterState, message: Begin, now: float) -> Target | Refusal:
+    trace = message.shape.trace
+    action = trace.trace_id if trace else secrets.token_hex(16)
+    call = classify(state.catalogue, message.shape, message.loan, action, now)
+    if isinstance(call, Refusal):
+        return with_retry_after(call, state.random)
+    begun = begin_action(state.actions, call, now)
+    if isinstance(begun, Refusal):
+        return replace(begun, call=call)
+    target = _target(state, first_attempt(begun), now)
+    if isinstance(target, Refusal):
+        end_action(state.actions, begun, begun.allowance, refused=True)
+        return with_retry_after(replace(target, call=call), state.random)
+    return target
+
+
+def _target(state: _RouterState, attempt: Attempt, now: float) -> Target | Refusal:
+    member = choose_member(
+        state.peers, attempt.call, attempt.progress.tried, now, state.random
+    )
+    if isinstance(member, Refusal):
+        return member
+    peers.record_sent(state.peers, member.node)
+    return Target(attempt, member, member.node == state.peers.own)
+
+
+def _attempt_failed(state: _RouterState, message: AttemptFailed, now: float) -> None:
+    _learn_failure(state, message, now)
+    answer = _next_target(state, message, now)
+    if isinstance(answer, Refusal):
+        answer = with_retry_after(answer, state.random)
+    message.reply.answer(answer)
+
+
+def _learn_failure(state: _RouterState, message: AttemptFailed, now: float) -> None:
+    node = message.target.member.node
+    peers.record_ended(state.peers, node)
+    peers.record_report(state.peers, node, message.report, now)
+    if message.refusal.reason is Reason.DEADLINE_PASSED:
+        peers.record_latency(state.peers, node, message.waited_s, now)
+    elif message.refusal.reason in _FAILURES:
+        peers.record_failure(state.peers, node, now)
+
+
+def _next_target(
+    state: _RouterState, message: AttemptFailed, now: float
+) -> Target | Refusal:
+    target, refusal = message.target, message.refusal
+    if not message.resendable:
+        return truthful(refusal, target.attempt.progress)
+    bucket = _bucket(state, target.call)
+    attempt = next_attempt(
+        target.attempt, target.member.node, refusal, message.returned, bucket, now
+    )
+    if isinstance(attempt, Refusal):
+        return attempt
+    found = _target(state, attempt, now)
+    if isinstance(found, Target):
+        return found
+    return _after_pause(state, attempt, now) or truthful(refusal, attempt.progress)
+
+
+def _after_pause(state: _RouterState, attempt: Attempt, now: float) -> Target | None:
+    progress = attempt.progress
+    wait_s = backoff_s(progress.rounds, state.random)
+    if now + wait_s >= attempt.call.deadline:
+        return None
+    again = replace(progress, tried=frozenset(), rounds=progress.rounds + 1)
+    found = _target(state, replace(attempt, progress=again), now)
+    return None if isinstance(found, Refusal) else replace(found, wait_s=wait_s)
+
+
+def _attempt_ended(state: _RouterState, message: AttemptEnded, now: float) -> None:
+    node = message.target.member.node
+    peers.record_ended(state.peers, node)
+    if message.answered_at is None:
+        peers.record_wait(state.peers, node, message.latency_s, now)
+        return
+    peers.record_report(state.peers, node, message.report, message.answered_at)
+    peers.record_latency(state.peers, node, message.latency_s, now)
+    record_success(_bucket(state, message.target.call))
+
+
+def _call_ended(state: _RouterState, message: CallEnded, now: float) -> None:
+    end_action(state.actions, message.call, message.unused, refused=message.refused)
+
+
+def _bucket(state: _RouterState, call: Call) -> RetryBucket:
+    return state.buckets.setdefault(call.service, RetryBucket())
+
+
+def _catalogue_changed(
+    state: _RouterState, message: CatalogueChanged, now: float
+) -> None:
+    state.catalogue = message.catalogue
+    services = {entry.service for entry in message.catalogue.entries}
+    state.buckets = {s: b for s, b in state.buckets.items() if s in services}
+
+
+def _members_changed(state: _RouterState, message: MembersChanged, now: float) -> None:
+    peers.replace_members(state.peers, message.members, now)
+
+
+_HANDLERS: Handlers[_RouterState] = {
+    Begin: _begin,
+    Resume: _resume,
+    AttemptFailed: _attempt_failed,
+    AttemptEnded: _attempt_ended,
+    CallEnded: _call_ended,
+    CatalogueChanged: _catalogue_changed,
+    MembersChanged: _members_changed,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/entry/clients.py
@@ -0,0 +1,61 @@
+"""Requests of clients, and calls that the own backend server makes."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from _masticspoke.border.headers import passed
+from _masticspoke.border.headers import request_shape
+from _masticspoke.dispatch.conduct import conduct
+from _masticspoke.dispatch.port import DispatchPort
+from _masticspoke.entry.listener import Handler
+from _masticspoke.exchange import refusal_response
+from _masticspoke.messages.runs import Lend
+from _masticspoke.model import Loan
+from _masticspoke.model import RequestShape
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.ask import ask_or
+from _masticspoke.supervise.mailbox import Reply
+
+
+def client_handler(port: DispatchPort, *, from_backend: bool) -> Handler:
+    """Return the handler of requests that enter the system at this node.
+
+    :param from_backend: whether the own backend server sends them.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        shape = request_shape(
+            request.method, request.raw_path, request.headers, from_backend=from_backend
+        )
+        if not from_backend and passed(request.headers, port.guard.own):
+            shape = Refusal(Reason.LOOP, detail="the request came from this node")
+        if isinstance(shape, Refusal):
+            return refusal_response(shape)
+        loan = await _loan(port, shape, _name(request, shape))
+        if isinstance(loan, Refusal):
+            return refusal_response(loan)
+        answer = await conduct(port, request, shape, loan)
+        return refusal_response(answer) if isinstance(answer, Refusal) else answer
+
+    return handle
+
+
+def _name(request: web.BaseRequest, shape: RequestShape) -> int | None:
+    """Return what a second send of the same request has in common with the first.
+
+    Without a key, requests with bodies can't be told apart before they are read.
+    """
+    if request.can_read_body and shape.key is None:
+        return None
+    return hash((shape.method, request.raw_path, shape.key))
+
+
+async def _loan(
+    port: DispatchPort, shape: RequestShape, name: int | None
+) -> Loan | Refusal | None:
+    if not shape.from_backend or shape.trace is None:
+        return None
+    question = Lend(shape.trace, name, Reply())
+    return await ask_or(port.guard.runs, question, question.reply, None)
--- /dev/null
+++ b/build/lib/_masticspoke/entry/peers.py
@@ -0,0 +1,112 @@
+"""Calls that other nodes send to this node's guard, and control requests."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import aiohttp
+from aiohttp import web
+
+from _masticspoke.border.headers import CALL_HEADER
+from _masticspoke.border.headers import decode_call
+from _masticspoke.border.headers import ELSEWHERE_HEADER
+from _masticspoke.border.headers import encode_report
+from _masticspoke.border.headers import HOME_HEADER
+from _masticspoke.border.headers import is_origin_form
+from _masticspoke.border.headers import REPORT_HEADER
+from _masticspoke.border.paths import CONTROL_PREFIX
+from _masticspoke.decisions.once.model import Elsewhere
+from _masticspoke.dispatch.keyed import HomePort
+from _masticspoke.dispatch.keyed import serve_forwarded
+from _masticspoke.dispatch.port import Answer
+from _masticspoke.entry.listener import Handler
+from _masticspoke.exchange import Outgoing
+from _masticspoke.exchange import receive
+from _masticspoke.exchange import refusal_response
+from _masticspoke.guard.run import GuardPort
+from _masticspoke.guard.run import run_call
+from _masticspoke.messages.guard import NotAdmitted
+from _masticspoke.model import Call
+from _masticspoke.model import LoadReport
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.relay import Cut
+from _masticspoke.relay import relay
+from _masticspoke.relay import Relayed
+
+ControlHandlers = Mapping[
+    tuple[str, str], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+]
+
+_MISDIRECTED = 421
+
+
+def peer_handler(
+    port: GuardPort, home: HomePort, buffer_bytes: int, control: ControlHandlers
+) -> Handler:
+    """Return the handler of the peer port.
+
+    :param home: serves calls whose key is at home here.
+    :param control: handlers of control requests, by method and path.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path.startswith(CONTROL_PREFIX):
+            return await route_control(request, control)
+        call = _call(request, port.clock())
+        if isinstance(call, Refusal):
+            return refusal_response(call)
+        sent = await receive(request, buffer_bytes, call.deadline - port.clock())
+        if isinstance(sent, Refusal):
+            return refusal_response(sent)
+        if HOME_HEADER in request.headers:
+            return _from_home(await serve_forwarded(home, request, call, sent))
+        return await _answer(port, request, call, sent)
+
+    return handle
+
+
+def _from_home(answer: Answer | Elsewhere) -> web.StreamResponse:
+    if isinstance(answer, Elsewhere):
+        headers = {ELSEWHERE_HEADER: str(answer.node)}
+        return web.Response(status=_MISDIRECTED, headers=headers)
+    return refusal_response(answer) if isinstance(answer, Refusal) else answer
+
+
+def _call(request: web.BaseRequest, now: float) -> Call | Refusal:
+    if not is_origin_form(request.raw_path):
+        return Refusal(Reason.MALFORMED, detail="the request target must be a path")
+    return decode_call(request.headers.get(CALL_HEADER), now)
+
+
+async def _answer(
+    port: GuardPort, request: web.BaseRequest, call: Call, sent: Outgoing
+) -> web.StreamResponse:
+    relayed = Relayed(request)
+
+    async def deliver(
+        upstream: aiohttp.ClientResponse, report: LoadReport
+    ) -> web.StreamResponse | Cut:
+        headers = {REPORT_HEADER: encode_report(report)}
+        return await relay(relayed, upstream, headers)
+
+    answer = await run_call(port, call, sent, deliver)
+    if isinstance(answer, web.StreamResponse):
+        return answer
+    if relayed.response is not None:
+        relayed.abort()
+        return relayed.response
+    assert isinstance(answer, NotAdmitted)
+    return refusal_response(answer.refusal, answer.report)
+
+
+async def route_control(
+    request: web.BaseRequest, control: ControlHandlers
+) -> web.StreamResponse:
+    """Answer a control request; 404 if there is no such one."""
+    handler = control.get((request.method, request.path))
+    if handler is None:
+        return web.Response(status=404, text="no such control request\n")
+    return await handler(request)
--- /dev/null
+++ b/build/lib/_masticspoke/entry/suspects.py
@@ -0,0 +1,33 @@
+"""What other guards of the service tell this one about crash requests."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from _masticspoke.border.suspects import decode_suspects
+from _masticspoke.border.suspects import MAX_SUSPECTS_BYTES
+from _masticspoke.entry.listener import Handler
+from _masticspoke.exchange import read_bounded
+from _masticspoke.exchange import refusal_response
+from _masticspoke.guard.suspects import SuspectsMessage
+from _masticspoke.messages.suspects import SuspectsTold
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.mailbox import Delivery
+from _masticspoke.supervise.mailbox import Mailbox
+
+
+def suspects_handler(suspects: Mailbox[SuspectsMessage]) -> Handler:
+    """Return the handler of the control request that tells suspects."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        body = await read_bounded(request, MAX_SUSPECTS_BYTES)
+        told = None if body is None else decode_suspects(body)
+        if told is None:
+            detail = "malformed or too long list of suspects"
+            return refusal_response(Refusal(Reason.MALFORMED, detail=detail))
+        if suspects.tell(SuspectsTold(told)) is Delivery.FULL:
+            return refusal_response(Refusal(Reason.BUSY))
+        return web.Response(status=204)
+
+    return handle
--- /dev/null
+++ b/build/lib/_masticspoke/errors.py
@@ -0,0 +1,67 @@
+"""Typed errors; each message names the remedy."""
+
+from __future__ import annotations
+
+from typing import final
+
+
+class MasticspokeError(Exception):
+    """Base of all errors of this library.
+
+    :param problem: what was found.
+    :param remedy: what to do about it.
+    """
+
+    exit_code = 1
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        super().__init__(f"{problem}; {remedy}")
+        self.problem = problem
+        self.remedy = remedy
+
+
+@final
+class SettingsError(MasticspokeError):
+    """A settings or catalogue file is not valid."""
+
+    exit_code = 2
+
+
+@final
+class TooManyRestartsError(MasticspokeError):
+    """A supervisor gave up because its children crashed too often."""
+
+    exit_code = 3
+
+
+@final
+class LogUnavailableError(MasticspokeError):
+    """The log service did not answer."""
+
+    exit_code = 4
+
+
+@final
+class ChangeConflictError(MasticspokeError):
+    """Another catalogue change won the version."""
+
+    exit_code = 5
+
+
+@final
+class OutcomeUnknownError(MasticspokeError):
+    """It can't be told whether a change took effect."""
+
+    exit_code = 6
+
+
+@final
+class TaskCrashedError(MasticspokeError):
+    """A task crashed with a question in hand."""
+
+
+@final
+class NodeUnavailableError(MasticspokeError):
+    """A node did not answer."""
+
+    exit_code = 7
--- /dev/null
+++ b/build/lib/_masticspoke/events.py
@@ -0,0 +1,81 @@
+"""Numbered log events; ``docs/EVENTS.md`` says what to do about each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from enum import Enum
+from typing import final
+
+from loguru import logger
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EventSpec:
+    """Number, level and text of an event."""
+
+    number: int
+    level: str
+    text: str
+
+
+@final
+class Event(Enum):
+    """All events that a node or tool logs."""
+
+    NODE_STARTED = EventSpec(1001, "INFO", "node started")
+    NODE_STOPPING = EventSpec(1002, "INFO", "node is stopping")
+    NODE_STOPPED = EventSpec(1003, "INFO", "node stopped")
+    CHILD_CRASHED = EventSpec(1101, "ERROR", "task crashed and is restarted")
+    MAILBOX_FULL = EventSpec(1102, "WARNING", "mailbox full, message refused")
+    REQUESTS_CUT = EventSpec(1201, "WARNING", "requests cut at the stop time limit")
+    CATALOGUE_IN_FORCE = EventSpec(2001, "INFO", "catalogue version in force")
+    CATALOGUE_REJECTED = EventSpec(2002, "WARNING", "catalogue change not accepted")
+    LOG_UNAVAILABLE = EventSpec(2101, "WARNING", "log service does not answer")
+    LOG_AVAILABLE = EventSpec(2102, "INFO", "log service answers again")
+    BACKEND_ANNOUNCED = EventSpec(3001, "INFO", "backend server announced itself")
+    BACKEND_LEAVING = EventSpec(3002, "INFO", "backend server is leaving")
+    BACKEND_LAPSED = EventSpec(3003, "WARNING", "backend server stopped renewing")
+    ANNOUNCEMENT_REFUSED = EventSpec(3004, "WARNING", "announcement refused")
+    CLAIMS_MISSED = EventSpec(3101, "ERROR", "home missed records of the log")
+    REQUEST_ENDED = EventSpec(4001, "INFO", "request ended")
+    REQUEST_FAILED = EventSpec(4002, "WARNING", "request refused or failed")
+    RUN_NOT_STARTED = EventSpec(4003, "INFO", "guard did not run a request")
+    RUN_BROKE = EventSpec(4004, "WARNING", "run ended without an answer")
+    SERVER_CHANGED = EventSpec(4101, "INFO", "state of a backend server changed")
+    SERVER_PAUSED = EventSpec(4102, "WARNING", "backend server not used for a while")
+    DOOR_OPENED = EventSpec(4103, "INFO", "own backend server takes work")
+    DOOR_CLOSED = EventSpec(4104, "WARNING", "own backend server takes no work")
+    CONFIGURATION_IN_FORCE = EventSpec(4201, "INFO", "configuration in force")
+    CONFIGURATION_UNREADABLE = EventSpec(4202, "WARNING", "configuration unreadable")
+    HEARTBEAT_UNREADABLE = EventSpec(4203, "WARNING", "heartbeat names no server")
+    SETTINGS_RELOADED = EventSpec(4204, "INFO", "settings read again")
+    LINES_DROPPED = EventSpec(4901, "WARNING", "log lines dropped")
+    MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Log an event with its number and fields."""
+    spec = event.value
+    details = " ".join(f"{name}={value}" for name, value in fields.items())
+    logger.bind(event=spec.number, **fields).log(
+        spec.level, "E{} {} {}", spec.number, spec.text, details
+    )
+
+
+@contextmanager
+def counted_events(count: Callable[[int], None]) -> Iterator[None]:
+    """Call ``count`` with the number of each event logged in the meantime."""
+    sink = logger.add(
+        lambda message: count(message.record["extra"]["event"]),
+        level="DEBUG",
+        format="",
+        filter=lambda record: "event" in record["extra"],
+    )
+    try:
+        yield
+    finally:
+        logger.remove(sink)
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""The node on a platform that announces backend servers by heartbeats."""
+
+from __future__ import annotations
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/branches.py
@@ -0,0 +1,217 @@
+"""The branches of a fleet's node."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Mapping
+from random import Random
+
+from _masticspoke.border.backend_state import decode_state
+from _masticspoke.border.backend_state import SERVERS_STREAM
+from _masticspoke.border.sync import SYNC_PATH
+from _masticspoke.connections import connection_owner
+from _masticspoke.decisions.fleet.volume import Importance
+from _masticspoke.entry.listener import Handler
+from _masticspoke.entry.listener import listener
+from _masticspoke.events import Event
+from _masticspoke.fleet.followers import keyed_follower
+from _masticspoke.fleet.followers import OnValues
+from _masticspoke.fleet.followers import states_writer
+from _masticspoke.fleet.front import FrontPort
+from _masticspoke.fleet.gate import gate
+from _masticspoke.fleet.guarding import GuardPort
+from _masticspoke.fleet.inbound import inbound_handler
+from _masticspoke.fleet.messages import ConfigurationLearnt
+from _masticspoke.fleet.messages import ServersLearnt
+from _masticspoke.fleet.parts import FleetParts
+from _masticspoke.fleet.placer import placer
+from _masticspoke.fleet.registry import Outlets
+from _masticspoke.fleet.registry import registry
+from _masticspoke.fleet.sending import SendPort
+from _masticspoke.fleet.sync import sync_handler
+from _masticspoke.fleet.sync import sync_task
+from _masticspoke.fleet.sync import SyncPort
+from _masticspoke.fleet.trail import nonblocking_writer
+from _masticspoke.fleet.trail import Note
+from _masticspoke.fleet.trail import trail
+from _masticspoke.model import Address
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.supervisor import ChildSpec
+from _masticspoke.supervise.supervisor import supervisor
+
+# A connection on the platform's network is made in a few milliseconds, seconds.
+_CONNECT_TIMEOUT_S = 0.4
+# States of backend servers often change together, seconds.
+_GATHER_STATES_S = 0.4
+_CLOSE_S = 1.0
+
+
+def reporting_branch(parts: FleetParts) -> ChildBody:
+    """Return the supervisor of the trail."""
+    write = nonblocking_writer(sys.stdout.fileno())
+    body = trail(parts.trail, parts.settings.name, time.monotonic, time.time, write)
+    return supervisor("reporting", (ChildSpec("trail", body),), time.monotonic)
+
+
+def knowledge_branch(parts: FleetParts) -> ChildBody:
+    """Return the supervisor of what knows configuration and backend servers."""
+    settings = parts.settings
+    outlets = Outlets(
+        parts.configuration, parts.gate, parts.placer, parts.unsaved, parts.trail
+    )
+    keeper = registry(
+        parts.registry, parts.known, outlets, settings.backend, time.monotonic
+    )
+    configuration = keyed_follower(
+        parts.registry,
+        parts.to_log,
+        settings.log,
+        parts.dialect.configuration_stream,
+        0.0,
+        _on_configuration(parts),
+    )
+    states = keyed_follower(
+        parts.registry,
+        parts.to_log,
+        settings.log,
+        SERVERS_STREAM,
+        _GATHER_STATES_S,
+        _on_states(parts),
+    )
+    writer = states_writer(parts.unsaved, parts.registry, parts.to_log, settings.log)
+    children = (
+        ChildSpec(
+            "log_connections", connection_owner(parts.to_log, _CONNECT_TIMEOUT_S)
+        ),
+        ChildSpec("registry", keeper),
+        ChildSpec("configuration_follower", configuration),
+        ChildSpec("states_follower", states),
+        ChildSpec("states_writer", writer),
+        ChildSpec("sync", sync_task(sync_port(parts), Random())),
+    )
+    return supervisor("knowledge", children, time.monotonic)
+
+
+def _on_configuration(parts: FleetParts) -> OnValues:
+    def on_values(values: Mapping[str, bytes]) -> None:
+        raw = values.get(parts.dialect.configuration_key)
+        if not raw:
+            return
+        found = parts.dialect.decode_configuration(raw)
+        if found is None:
+            fields = {"bytes": len(raw)}
+            note = Note(Event.CONFIGURATION_UNREADABLE, fields, Importance.CHANGE)
+            parts.trail.tell(note)
+            return
+        parts.registry.tell(ConfigurationLearnt(found, raw, "log"))
+
+    return on_values
+
+
+def _on_states(parts: FleetParts) -> OnValues:
+    def on_values(values: Mapping[str, bytes]) -> None:
+        states = (decode_state(value) for value in values.values())
+        servers = tuple(state for state in states if state is not None)
+        if servers:
+            parts.registry.tell(ServersLearnt(servers, "log"))
+
+    return on_values
+
+
+def sync_port(parts: FleetParts) -> SyncPort:
+    """Return what exchanges with peers need."""
+    settings = parts.settings
+    return SyncPort(
+        parts.registry,
+        parts.dialect,
+        parts.to_nodes,
+        settings.nodes.host,
+        settings.seeds,
+        settings.nodes.port,
+    )
+
+
+def dispatch_branch(parts: FleetParts) -> ChildBody:
+    """Return the supervisor of the placer and the connections to other nodes."""
+    place = placer(
+        parts.placer,
+        parts.gate,
+        parts.trail,
+        parts.settings.zone,
+        parts.settings.budget,
+        time.monotonic,
+        Random(),
+    )
+    nodes = connection_owner(parts.to_nodes, _CONNECT_TIMEOUT_S)
+    children = (
+        ChildSpec("connections", nodes, _CLOSE_S),
+        ChildSpec("placer", place),
+    )
+    return supervisor("dispatch", children, time.monotonic)
+
+
+def guard_branch(parts: FleetParts) -> ChildBody:
+    """Return the supervisor of the gate and the connections to the backend server."""
+    echo = parts.dialect.echo_header
+    kept = connection_owner(parts.to_backend, _CONNECT_TIMEOUT_S, True, echo)
+    once = connection_owner(parts.to_backend_once, _CONNECT_TIMEOUT_S, False, echo)
+    door = gate(parts.gate, parts.guarded, parts.trail, time.monotonic)
+    children = (
+        ChildSpec("connections", kept, _CLOSE_S),
+        ChildSpec("connections_once", once, _CLOSE_S),
+        ChildSpec("gate", door),
+    )
+    return supervisor("guard", children, time.monotonic)
+
+
+def guard_port(parts: FleetParts) -> GuardPort:
+    """Return what reaches the own backend server."""
+    return GuardPort(
+        parts.gate,
+        parts.guarded,
+        parts.to_backend,
+        parts.to_backend_once,
+        parts.dialect,
+        parts.trail,
+        time.monotonic,
+        parts.tickets,
+    )
+
+
+def front_port(parts: FleetParts) -> FrontPort:
+    """Return what conducts requests that begin on this VM."""
+    settings = parts.settings
+    send = SendPort(
+        parts.placer,
+        parts.to_nodes,
+        guard_port(parts),
+        settings.backend,
+        settings.nodes.port,
+    )
+    return FrontPort(parts.configuration, send, parts.service)
+
+
+def entry_branch(
+    parts: FleetParts, ingress: Handler, control_plane: Handler, readiness: Handler
+) -> ChildBody:
+    """Return the supervisor of the listening sockets.
+
+    The last one stops first: clients leave before the guard's own port closes.
+    """
+    settings = parts.settings
+    inbound = inbound_handler(
+        guard_port(parts), {SYNC_PATH: sync_handler(sync_port(parts))}
+    )
+
+    def opened(name: str, address: Address, handler: Handler) -> ChildSpec:
+        body = listener(address, handler, lambda: None, parts.stop, time.monotonic)
+        return ChildSpec(name, body, settings.stop_timeout_s)
+
+    children = (
+        opened("control_plane", settings.control_plane, control_plane),
+        opened("nodes", settings.nodes, inbound),
+        opened("readiness", settings.readiness, readiness),
+        opened("clients", settings.clients, ingress),
+    )
+    return supervisor("entry", children, time.monotonic)
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/departure.py
@@ -0,0 +1,48 @@
+"""A planned stop: clients go elsewhere first, then what runs is finished."""
+
+from __future__ import annotations
+
+import asyncio
+
+from _masticspoke.fleet.gate import GateMessage
+from _masticspoke.fleet.messages import AskRunning
+from _masticspoke.fleet.messages import CloseDoor
+from _masticspoke.supervise.ask import ask
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.planned_stop import PlannedStop
+from _masticspoke.supervise.supervisor import Clock
+
+# The platform asks for readiness every second and takes a node out after two misses.
+UNREADY_S = 2.6
+# Time at the end that listeners get to finish what is in flight, seconds.
+_RESERVE_S = 1.2
+_CHECK_S = 0.1
+
+
+def departure(gate: Mailbox[GateMessage], stop: PlannedStop, clock: Clock) -> ChildBody:
+    """Return the body of the task that begins a planned stop.
+
+    Listeners stay open while clients still come, and while requests run whose own
+    calls come in through them.
+    """
+
+    async def run(life: Lifecycle) -> None:
+        life.mark_started()
+        await life.stopping()
+        began = clock()
+        stop.begin(began)
+        gate.tell(CloseDoor())
+        while clock() - began < UNREADY_S or await _running(gate):
+            if stop.left_s(clock()) < _RESERVE_S:
+                return
+            await asyncio.sleep(_CHECK_S)
+
+    return run
+
+
+async def _running(gate: Mailbox[GateMessage]) -> int:
+    reply: Reply[int] = Reply()
+    return await ask(gate, AskRunning(reply), reply) or 0
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/gate.py
@@ -0,0 +1,212 @@
+"""The gate: owns the queue and the slots of the own backend server."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import final
+
+from _masticspoke.decisions.fleet import queueing
+from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import GuardLoad
+from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.decisions.fleet.model import Phase
+from _masticspoke.decisions.fleet.queueing import Queue
+from _masticspoke.decisions.fleet.queueing import Refuse
+from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.throttle import adjust
+from _masticspoke.decisions.fleet.throttle import lets_in
+from _masticspoke.decisions.fleet.throttle import Throttle
+from _masticspoke.events import Event
+from _masticspoke.fleet.messages import Admit
+from _masticspoke.fleet.messages import AskRunning
+from _masticspoke.fleet.messages import BackendUnreachable
+from _masticspoke.fleet.messages import CallerLeft
+from _masticspoke.fleet.messages import CloseDoor
+from _masticspoke.fleet.messages import Downstream
+from _masticspoke.fleet.messages import OwnBackend
+from _masticspoke.fleet.messages import RunEnded
+from _masticspoke.fleet.trail import Note
+from _masticspoke.fleet.trail import TrailMessage
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.supervisor import Clock
+
+GateMessage = (
+    Admit
+    | RunEnded
+    | CallerLeft
+    | OwnBackend
+    | BackendUnreachable
+    | Downstream
+    | CloseDoor
+    | AskRunning
+)
+# Retry-After of work refused for pressure further down, seconds.
+_PRESSURE_RETRY_S = 0.7
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Guarded:
+    """What the gate publishes: the own backend server, and the load here."""
+
+    server: BackendServer | None = None
+    load: GuardLoad = field(default_factory=GuardLoad)
+
+
+@final
+@dataclass(slots=True)
+class _GateState:
+    published: Latest[Guarded]
+    trail: Mailbox[TrailMessage]
+    queue: Queue = field(default_factory=Queue)
+    throttle: Throttle = field(default_factory=Throttle)
+    replies: dict[int, Reply[Verdict]] = field(default_factory=dict)
+    server: BackendServer | None = None
+    downstream_s: float = 0.0
+    closed: bool = False
+
+
+def gate(
+    inbox: Mailbox[GateMessage],
+    published: Latest[Guarded],
+    trail: Mailbox[TrailMessage],
+    clock: Clock,
+) -> ChildBody:
+    """Return the body of the gate's task."""
+
+    async def run(life: Lifecycle) -> None:
+        state = _GateState(published, trail)
+        known = published.value.server
+        if known is not None:
+            _own_backend(state, OwnBackend(known), clock())
+        await serve(inbox, state, _HANDLERS, clock, life, on_tick=_tick, wait_s=_wait_s)
+
+    return run
+
+
+def _admit(state: _GateState, message: Admit, now: float) -> None:
+    job = message.job
+    if job.service != _service_of(state):
+        refusal = Refuse(message.ticket, NotRun.MOVED, queueing.MIN_RETRY_S)
+        message.reply.answer(refusal)
+        return
+    if not job.nested and not lets_in(state.throttle, job.rank):
+        refusal = Refuse(message.ticket, NotRun.BUSY, _PRESSURE_RETRY_S)
+        message.reply.answer(refusal)
+        return
+    verdict = queueing.admit(state.queue, message.ticket, job, now)
+    if verdict is None:
+        state.replies[message.ticket] = message.reply
+    else:
+        message.reply.answer(verdict)
+
+
+def _service_of(state: _GateState) -> str | None:
+    return None if state.server is None else state.server.service
+
+
+def _run_ended(state: _GateState, message: RunEnded, now: float) -> None:
+    _give(state, queueing.finish(state.queue, message.ticket, message.ran, now))
+
+
+def _caller_left(state: _GateState, message: CallerLeft, now: float) -> None:
+    if state.replies.pop(message.ticket, None) is not None:
+        queueing.forget(state.queue, message.ticket)
+    _give(state, queueing.finish(state.queue, message.ticket, ran=False, now=now))
+
+
+def _own_backend(state: _GateState, message: OwnBackend, now: float) -> None:
+    before = state.server
+    state.server = message.server
+    state.queue.slots = message.server.slots
+    if state.closed:
+        return
+    if message.server.phase is not Phase.READY:
+        _shut(state, NotRun.LEAVING)
+        return
+    if state.queue.refusing is not None:
+        _note(state, Event.DOOR_OPENED, message.server.instance, "")
+    if before is not None and before.instance != message.server.instance:
+        state.queue.run_s.clear()
+    state.queue.refusing = None
+
+
+def _unreachable(state: _GateState, message: BackendUnreachable, now: float) -> None:
+    if state.server is not None and state.server.instance == message.instance:
+        _shut(state, NotRun.ABSENT)
+
+
+def _shut(state: _GateState, reason: NotRun) -> None:
+    if state.queue.refusing is not reason:
+        instance = "" if state.server is None else state.server.instance
+        _note(state, Event.DOOR_CLOSED, instance, reason)
+    _give(state, queueing.refuse_all(state.queue, reason))
+
+
+def _note(state: _GateState, event: Event, instance: str, reason: str) -> None:
+    fields = {
+        "instance": instance,
+        "reason": reason,
+        "running": len(state.queue.running),
+        "waiting": state.queue.queued,
+    }
+    state.trail.tell(Note(event, fields))
+
+
+def _downstream(state: _GateState, message: Downstream, now: float) -> None:
+    state.downstream_s = message.pressure_s
+    adjust(state.throttle, message.pressure_s, now)
+
+
+def _close_door(state: _GateState, message: CloseDoor, now: float) -> None:
+    state.closed = True
+    _shut(state, NotRun.LEAVING)
+
+
+def _ask_running(state: _GateState, message: AskRunning, now: float) -> None:
+    message.reply.answer(len(state.queue.running) + state.queue.queued)
+
+
+def _give(state: _GateState, verdicts: Iterable[Verdict]) -> None:
+    for verdict in verdicts:
+        reply = state.replies.pop(verdict.ticket, None)
+        if reply is not None:
+            reply.answer(verdict)
+
+
+def _tick(state: _GateState, now: float) -> None:
+    _give(state, queueing.advance(state.queue, now))
+    queue = state.queue
+    load = GuardLoad(
+        running=len(queue.running),
+        queued=queue.queued,
+        limit=queue.limit,
+        run_s=queue.any_run_s,
+        pressure_s=queueing.nested_wait_s(queue) + state.downstream_s,
+    )
+    state.published.tell(Guarded(state.server, load))
+
+
+def _wait_s(state: _GateState, now: float) -> float | None:
+    expiry = queueing.next_expiry(state.queue)
+    return None if expiry is None else max(0.0, expiry - now)
+
+
+_HANDLERS: Handlers[_GateState] = {
+    Admit: _admit,
+    RunEnded: _run_ended,
+    CallerLeft: _caller_left,
+    OwnBackend: _own_backend,
+    BackendUnreachable: _unreachable,
+    Downstream: _downstream,
+    CloseDoor: _close_door,
+    AskRunning: _ask_running,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/guarding.py
@@ -0,0 +1,248 @@
+"""Run one request at the own backend server, if the gate admits it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+from typing import final
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+from yarl import URL
+
+from _masticspoke.border.forwarding import forwarded
+from _masticspoke.connections import Connections
+from _masticspoke.connections import NOT_CONNECTED
+from _masticspoke.connections import was_reset
+from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import GuardLoad
+from _masticspoke.decisions.fleet.model import Job
+from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.decisions.fleet.queueing import Refuse
+from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.volume import Importance
+from _masticspoke.events import Event
+from _masticspoke.fleet.dialect import Dialect
+from _masticspoke.fleet.gate import GateMessage
+from _masticspoke.fleet.gate import Guarded
+from _masticspoke.fleet.messages import Admit
+from _masticspoke.fleet.messages import BackendUnreachable
+from _masticspoke.fleet.messages import CallerLeft
+from _masticspoke.fleet.messages import RunEnded
+from _masticspoke.fleet.trail import Note
+from _masticspoke.fleet.trail import TrailMessage
+from _masticspoke.supervise.ask import ask_or
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.supervisor import Clock
+
+# Answers up to this length are read whole before anything is passed on, so that a
+# broken one can still be fetched elsewhere.
+WHOLE_ANSWER_BYTES = 1_048_576
+# Headers that each node sets or that the transport sets anew.
+NO_HEADERS: frozenset[str] = frozenset()
+_RETRY_S = 0.2
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request as it is passed on.
+
+    :param target: path and query as they were written.
+    """
+
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A backend server's whole answer."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """A long answer that was passed on while it arrived; perhaps broken off."""
+
+    response: web.StreamResponse
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The request did not run and never will.
+
+    :param arrived: whether the backend server got it and rejected it.
+    """
+
+    reason: NotRun
+    retry_s: float
+    arrived: bool = False
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Broke:
+    """The run ended without an answer; the request may have run.
+
+    :param expired: whether the deadline ended it.
+    """
+
+    detail: str
+    expired: bool = False
+
+
+RunResult = Answer | Passed | Declined | Broke
+Stream = Callable[
+    [aiohttp.ClientResponse, CIMultiDict[str]], Awaitable[web.StreamResponse]
+]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class GuardPort:
+    """What a request's task needs to reach the own backend server.
+
+    :param kept: connections that serve several requests.
+    :param fresh: connections that serve one request that must not run twice.
+    """
+
+    gate: Mailbox[GateMessage]
+    guarded: Latest[Guarded]
+    kept: Connections
+    fresh: Connections
+    dialect: Dialect
+    trail: Mailbox[TrailMessage]
+    clock: Clock
+    tickets: count[int]
+
+    @property
+    def load(self) -> GuardLoad:
+        """The load to tell callers."""
+        return self.guarded.value.load
+
+
+async def run_job(port: GuardPort, job: Job, sent: Sent, stream: Stream) -> RunResult:
+    """Return the backend server's answer, or why there is none.
+
+    :param stream: passes on an answer that is too long to be held.
+    """
+    ticket = next(port.tickets)
+    reply: Reply[Verdict] = Reply()
+    busy = Refuse(ticket, NotRun.BUSY, _RETRY_S)
+    ran = False
+    admitted = False
+    try:
+        verdict = await ask_or(port.gate, Admit(ticket, job, reply), reply, busy)
+        if isinstance(verdict, Refuse):
+            declined = Declined(verdict.reason, verdict.retry_s)
+            _note_declined(port, job, declined)
+            return declined
+        admitted = True
+        result = await _at_backend(port, job, sent, stream)
+        ran = isinstance(result, Answer | Passed)
+        _note(port, job, result)
+        return result
+    finally:
+        if admitted:
+            port.gate.tell(RunEnded(ticket, ran))
+        else:
+            port.gate.tell(CallerLeft(ticket))
+
+
+async def _at_backend(
+    port: GuardPort, job: Job, sent: Sent, stream: Stream
+) -> RunResult:
+    server = port.guarded.value.server
+    left_s = job.deadline - port.clock()
+    if server is None or left_s <= 0:
+        reason = NotRun.ABSENT if server is None else NotRun.TOO_LATE
+        return Declined(reason, _RETRY_S)
+    headers = CIMultiDict(sent.headers)
+    port.dialect.set_backend_headers(headers, job, server.instance, left_s)
+    try:
+        async with asyncio.timeout(left_s):
+            return await _exchange(port, job, sent, stream, server, headers)
+    except TimeoutError:
+        return Broke("deadline", expired=True)
+
+
+async def _exchange(
+    port: GuardPort,
+    job: Job,
+    sent: Sent,
+    stream: Stream,
+    server: BackendServer,
+    headers: CIMultiDict[str],
+) -> RunResult:
+    connections = port.kept if job.repeatable else port.fresh
+    try:
+        async with connections.session.request(
+            sent.method,
+            URL(f"http://{server.backend}{sent.target}", encoded=True),
+            headers=headers,
+            data=sent.body or None,
+            allow_redirects=False,
+        ) as upstream:
+            not_run = port.dialect.read_not_run(upstream.status, upstream.headers)
+            if not_run is not None:
+                await upstream.read()
+                return Declined(not_run, _RETRY_S, arrived=True)
+            return await _answer(upstream, stream)
+    except NOT_CONNECTED:
+        port.gate.tell(BackendUnreachable(server.instance))
+        return Declined(NotRun.ABSENT, _RETRY_S)
+    except (aiohttp.ClientError, ConnectionError) as error:
+        return Broke(repr(error))
+
+
+async def _answer(upstream: aiohttp.ClientResponse, stream: Stream) -> RunResult:
+    headers = forwarded(upstream.headers, NO_HEADERS)
+    length = upstream.content_length
+    if length is not None and length > WHOLE_ANSWER_BYTES:
+        return Passed(await stream(upstream, headers))
+    body = await upstream.read()
+    ends_with_connection = length is None and not upstream.headers.get(
+        "Transfer-Encoding"
+    )
+    if ends_with_connection and was_reset(upstream):
+        return Broke("connection reset before the end of the answer")
+    return Answer(upstream.status, headers, body)
+
+
+def _note(port: GuardPort, job: Job, result: RunResult) -> None:
+    if isinstance(result, Declined):
+        _note_declined(port, job, result)
+    if isinstance(result, Broke):
+        fields = {"id": job.request_id, "route": job.route, "detail": result.detail}
+        port.trail.tell(Note(Event.RUN_BROKE, fields, Importance.FAILURE))
+
+
+def _note_declined(port: GuardPort, job: Job, declined: Declined) -> None:
+    load = port.load
+    fields = {
+        "id": job.request_id,
+        "route": job.route,
+        "reason": declined.reason,
+        "arrived": declined.arrived,
+        "retry_s": round(declined.retry_s, 3),
+        "left_s": round(job.deadline - port.clock(), 3),
+        "running": load.running,
+        "waiting": load.queued,
+        "limit": load.limit,
+    }
+    port.trail.tell(Note(Event.RUN_NOT_STARTED, fields, Importance.FAILURE))
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/parts.py
@@ -0,0 +1,72 @@
+"""What the branches of a fleet's node share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import count
+from typing import final
+
+from _masticspoke.connections import Connections
+from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.fleet.dialect import Dialect
+from _masticspoke.fleet.gate import GateMessage
+from _masticspoke.fleet.gate import Guarded
+from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.fleet.registry import Knowledge
+from _masticspoke.fleet.registry import RegistryMessage
+from _masticspoke.fleet.settings import FleetSettings
+from _masticspoke.fleet.trail import TrailMessage
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.planned_stop import PlannedStop
+
+# Messages that may wait for a task; more means that the node is far behind.
+_CAPACITY = 8_192
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class FleetParts:
+    """What outlives a restart of a task."""
+
+    settings: FleetSettings
+    dialect: Dialect
+    stop: PlannedStop
+    known: Knowledge
+    configuration: Latest[Configuration | None]
+    service: Latest[str]
+    guarded: Latest[Guarded]
+    tickets: count[int]
+    registry: Mailbox[RegistryMessage]
+    placer: Mailbox[PlacerMessage]
+    gate: Mailbox[GateMessage]
+    unsaved: Mailbox[BackendServer]
+    trail: Mailbox[TrailMessage]
+    to_log: Connections
+    to_nodes: Connections
+    to_backend: Connections
+    to_backend_once: Connections
+
+
+def new_fleet_parts(settings: FleetSettings, dialect: Dialect) -> FleetParts:
+    """Return the shared parts of a node that starts."""
+    return FleetParts(
+        settings=settings,
+        dialect=dialect,
+        stop=PlannedStop(settings.stop_timeout_s),
+        known=Knowledge(),
+        configuration=Latest(None),
+        service=Latest(settings.service),
+        guarded=Latest(Guarded()),
+        tickets=count(),
+        registry=Mailbox(_CAPACITY),
+        placer=Mailbox(_CAPACITY),
+        gate=Mailbox(_CAPACITY),
+        unsaved=Mailbox(_CAPACITY),
+        trail=Mailbox(_CAPACITY),
+        to_log=Connections(),
+        to_nodes=Connections(),
+        to_backend=Connections(),
+        to_backend_once=Connections(),
+    )
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/registry.py
@@ -0,0 +1,224 @@
+"""The registry: owns the configuration and the states of all backend servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import final
+
+from _masticspoke.decisions.fleet import members
+from _masticspoke.decisions.fleet.members import Members
+from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.events import Event
+from _masticspoke.fleet.gate import GateMessage
+from _masticspoke.fleet.messages import AskKnown
+from _masticspoke.fleet.messages import ConfigurationLearnt
+from _masticspoke.fleet.messages import Deregistered
+from _masticspoke.fleet.messages import Heartbeat
+from _masticspoke.fleet.messages import Known
+from _masticspoke.fleet.messages import OwnBackend
+from _masticspoke.fleet.messages import ServersChanged
+from _masticspoke.fleet.messages import ServersLearnt
+from _masticspoke.fleet.messages import StoreHealth
+from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.fleet.trail import Note
+from _masticspoke.fleet.trail import TrailMessage
+from _masticspoke.model import Address
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.supervisor import Clock
+
+RegistryMessage = (
+    Heartbeat
+    | Deregistered
+    | ServersLearnt
+    | ConfigurationLearnt
+    | StoreHealth
+    | AskKnown
+)
+# Changes are told to peers for this long, seconds.
+_RECENT_S = 5.0
+
+
+@final
+@dataclass(slots=True)
+class Knowledge:
+    """What must outlive a crash of the registry's task: versions never go back."""
+
+    members: Members = field(default_factory=Members)
+    raw: bytes = b""
+    faults: dict[str, str] = field(default_factory=dict)
+    changed_at: dict[Address, float] = field(default_factory=dict)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Outlets:
+    """Where the registry's news go.
+
+    :param unsaved: states that the log has to keep.
+    """
+
+    configuration: Latest[Configuration | None]
+    gate: Mailbox[GateMessage]
+    placer: Mailbox[PlacerMessage]
+    unsaved: Mailbox[BackendServer]
+    trail: Mailbox[TrailMessage]
+
+
+@final
+@dataclass(slots=True)
+class _RegistryState:
+    known: Knowledge
+    outlets: Outlets
+    own: Address
+
+
+def registry(
+    inbox: Mailbox[RegistryMessage],
+    known: Knowledge,
+    outlets: Outlets,
+    own: Address,
+    clock: Clock,
+) -> ChildBody:
+    """Return the body of the registry's task.
+
+    :param own: address of the own backend server.
+    """
+
+    async def run(life: Lifecycle) -> None:
+        state = _RegistryState(known, outlets, own)
+        _publish(state, ())
+        await serve(inbox, state, _HANDLERS, clock, life)
+
+    return run
+
+
+def _heartbeat(state: _RegistryState, message: Heartbeat, now: float) -> None:
+    changed = _learn(state, (message.server,), "heartbeat", now)
+    known = state.known.members.by_address.get(state.own)
+    if known is not None and known.instance == message.server.instance:
+        state.outlets.gate.tell(OwnBackend(known))
+    for server in changed:
+        state.outlets.unsaved.tell(server)
+    message.reply.answer(True)
+
+
+def _deregistered(state: _RegistryState, message: Deregistered, now: float) -> None:
+    known = state.known.members.by_address.get(state.own)
+    if known is not None and _names(message, known):
+        ended = replace(known, phase=max(known.phase, message.phase))
+        for server in _learn(state, (ended,), "deregistration", now):
+            state.outlets.unsaved.tell(server)
+            state.outlets.gate.tell(OwnBackend(server))
+    message.reply.answer(True)
+
+
+def _names(message: Deregistered, known: BackendServer) -> bool:
+    if message.instance != known.instance:
+        return False
+    return message.born_ms is None or message.born_ms == known.born_ms
+
+
+def _servers_learnt(state: _RegistryState, message: ServersLearnt, now: float) -> None:
+    # The own backend server is known by its heartbeats; others' news may be older.
+    others = tuple(s for s in message.servers if s.backend != state.own)
+    _learn(state, others, message.source, now)
+
+
+def _learn(
+    state: _RegistryState, servers: tuple[BackendServer, ...], source: str, now: float
+) -> tuple[BackendServer, ...]:
+    changed = tuple(members.learn(state.known.members, servers))
+    for server in changed:
+        state.known.changed_at[server.backend] = now
+        state.outlets.trail.tell(Note(Event.SERVER_CHANGED, _described(server, source)))
+    if changed:
+        _publish(state, changed)
+    return changed
+
+
+def _described(server: BackendServer, source: str) -> dict[str, object]:
+    return {
+        "server": str(server.backend),
+        "service": server.service,
+        "instance": server.instance,
+        "born_ms": server.born_ms,
+        "phase": server.phase.name,
+        "slots": server.slots,
+        "source": source,
+    }
+
+
+def _publish(state: _RegistryState, changed: tuple[BackendServer, ...]) -> None:
+    servers = tuple(state.known.members.by_address.values())
+    state.outlets.placer.tell(ServersChanged(servers, changed))
+
+
+def _configuration(
+    state: _RegistryState, message: ConfigurationLearnt, now: float
+) -> None:
+    before = state.outlets.configuration.value
+    if before is not None and before.version >= message.configuration.version:
+        return
+    state.known.raw = message.raw
+    state.outlets.configuration.tell(message.configuration)
+    state.outlets.trail.tell(
+        Note(
+            Event.CONFIGURATION_IN_FORCE,
+            {
+                "version": message.configuration.version,
+                "before": 0 if before is None else before.version,
+                "routes": len(message.configuration.routes),
+                "source": message.source,
+            },
+        )
+    )
+
+
+def _store_health(state: _RegistryState, message: StoreHealth, now: float) -> None:
+    before = state.known.faults.get(message.source)
+    if message.fault is None:
+        state.known.faults.pop(message.source, None)
+    else:
+        state.known.faults[message.source] = message.fault
+    if (before is None) is not (message.fault is None):
+        event = Event.LOG_AVAILABLE if message.fault is None else Event.LOG_UNAVAILABLE
+        fields = {"source": message.source, "fault": message.fault or ""}
+        state.outlets.trail.tell(Note(event, fields))
+
+
+def _ask_known(state: _RegistryState, message: AskKnown, now: float) -> None:
+    known = state.known
+    configuration = state.outlets.configuration.value
+    recent = tuple(
+        known.members.by_address[address]
+        for address, at in known.changed_at.items()
+        if now - at < _RECENT_S
+    )
+    message.reply.answer(
+        Known(
+            version=0 if configuration is None else configuration.version,
+            raw=known.raw,
+            digest=members.digest(known.members),
+            servers=tuple(known.members.by_address.values()),
+            recent=recent,
+            store_answers=not known.faults,
+        )
+    )
+
+
+_HANDLERS: Handlers[_RegistryState] = {
+    Heartbeat: _heartbeat,
+    Deregistered: _deregistered,
+    ServersLearnt: _servers_learnt,
+    ConfigurationLearnt: _configuration,
+    StoreHealth: _store_health,
+    AskKnown: _ask_known,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/fleet/trail.py
@@ -0,0 +1,127 @@
+"""The trail: owns standard output and writes one JSON line for each decision.
+
+Writing never blocks: a reader that does not read costs lines, which are counted.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import final
+
+from _masticspoke.decisions.fleet.volume import Importance
+from _masticspoke.decisions.fleet.volume import keeps
+from _masticspoke.decisions.fleet.volume import take_dropped
+from _masticspoke.decisions.fleet.volume import Volume
+from _masticspoke.events import Event
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+
+# Lines are collected for this long before they are written, seconds.
+_COLLECT_S = 0.25
+# Bytes that wait for a slow reader at most.
+_MAX_WAITING_BYTES = 262_144
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A decision, with the inputs that decided it."""
+
+    event: Event
+    fields: Mapping[str, object]
+    importance: Importance = Importance.CHANGE
+
+
+TrailMessage = Note
+Write = Callable[[bytes], int]
+
+
+@final
+@dataclass(slots=True)
+class _TrailState:
+    node: str
+    wall: Callable[[], float]
+    volume: Volume = field(default_factory=Volume)
+    waiting: bytearray = field(default_factory=bytearray)
+    lost: int = 0
+
+
+def trail(
+    inbox: Mailbox[TrailMessage],
+    node: str,
+    clock: Callable[[], float],
+    wall: Callable[[], float],
+    write: Write,
+) -> ChildBody:
+    """Return the body of the trail's task.
+
+    :param clock: steady, for rates.
+    :param wall: time of day, for people.
+    :param write: writes some bytes without waiting and returns how many.
+    """
+
+    async def run(life: Lifecycle) -> None:
+        state = _TrailState(node, wall)
+        life.mark_started()
+        try:
+            while True:
+                batch = await inbox.receive(_COLLECT_S if state.waiting else None)
+                for note in batch:
+                    _collect(state, note, clock())
+                _flush(state, write)
+        finally:
+            for note in inbox.take():
+                _collect(state, note, clock())
+            _flush(state, write)
+
+    return run
+
+
+def _collect(state: _TrailState, note: Note, now: float) -> None:
+    if not keeps(state.volume, note.importance, now):
+        return
+    _add(state, note.event, note.fields)
+    for importance, count in take_dropped(state.volume).items():
+        fields = {"importance": importance.value, "lines": count}
+        _add(state, Event.LINES_DROPPED, fields)
+
+
+def _add(state: _TrailState, event: Event, fields: Mapping[str, object]) -> None:
+    spec = event.value
+    line = {
+        "t": round(state.wall(), 3),
+        "node": state.node,
+        "event": spec.number,
+        "text": spec.text,
+        **fields,
+    }
+    state.waiting += json.dumps(line, separators=(",", ":")).encode() + b"\n"
+
+
+def _flush(state: _TrailState, write: Write) -> None:
+    if state.waiting:
+        written = write(bytes(state.waiting))
+        del state.waiting[:written]
+    if len(state.waiting) > _MAX_WAITING_BYTES:
+        cut = state.waiting.rfind(b"\n", 0, _MAX_WAITING_BYTES // 2) + 1
+        state.lost += state.waiting.count(b"\n", 0, cut)
+        del state.waiting[:cut]
+
+
+def nonblocking_writer(descriptor: int) -> Write:
+    """Return a function that writes to ``descriptor`` what fits at once."""
+    os.set_blocking(descriptor, False)
+
+    def write(data: bytes) -> int:
+        try:
+            return os.write(descriptor, data)
+        except BlockingIOError:
+            return 0
+
+    return write
--- /dev/null
+++ b/build/lib/_masticspoke/guard/branch.py
@@ -0,0 +1,40 @@
+"""The branch guard."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+from _masticspoke.connections import connection_owner
+from _masticspoke.guard.gate import gate
+from _masticspoke.guard.runs import runs
+from _masticspoke.guard.suspect_sender import suspect_sender
+from _masticspoke.guard.suspects import suspects
+from _masticspoke.parts import informed
+from _masticspoke.parts import Parts
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.supervisor import ChildSpec
+from _masticspoke.supervise.supervisor import supervisor
+
+
+def guard_branch(parts: Parts) -> ChildBody:
+    """Return the supervisor of gate, retry allowances and suspects."""
+    limits = parts.settings.limits
+    connect_s = limits.connect_timeout_ms / 1000
+    admit = gate(parts.gate, time.monotonic, limits.queue_calls, Random())
+    suspect = suspects(
+        parts.suspects,
+        parts.suspect_sender,
+        parts.watched,
+        parts.settings.node.peer_address,
+        time.monotonic,
+    )
+    sender = suspect_sender(parts.suspect_sender, parts.to_peers, connect_s)
+    children = (
+        ChildSpec("connections", connection_owner(parts.to_backend, connect_s), 1.0),
+        ChildSpec("suspect_sender", sender),
+        ChildSpec("suspects", informed(parts, suspect)),
+        ChildSpec("runs", runs(parts.runs, time.monotonic)),
+        ChildSpec("gate", informed(parts, admit)),
+    )
+    return supervisor("guard", children, time.monotonic)
--- /dev/null
+++ b/build/lib/_masticspoke/guard/gate.py
@@ -0,0 +1,241 @@
+"""The gate: owns what runs and waits at the own backend server."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from functools import partial
+from itertools import count
+from random import Random
+from typing import final
+
+from _masticspoke.decisions import admission
+from _masticspoke.decisions.backend import announced
+from _masticspoke.decisions.backend import Backend
+from _masticspoke.decisions.backend import left
+from _masticspoke.decisions.backend import why_no_work
+from _masticspoke.decisions.effects import Effect
+from _masticspoke.decisions.effects import Refuse
+from _masticspoke.decisions.effects import Run
+from _masticspoke.decisions.limit import announce_slots
+from _masticspoke.decisions.limit import cold_limit
+from _masticspoke.decisions.loops import is_loop
+from _masticspoke.decisions.loops import note_ended
+from _masticspoke.decisions.loops import note_running
+from _masticspoke.decisions.loops import RunningRequests
+from _masticspoke.decisions.occupancy import AdmissionState
+from _masticspoke.decisions.occupancy import admitted_rank
+from _masticspoke.messages.control import BackendAnnounced
+from _masticspoke.messages.control import BackendLeaving
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.guard import Admit
+from _masticspoke.messages.guard import Admitted
+from _masticspoke.messages.guard import Finished
+from _masticspoke.messages.guard import NotAdmitted
+from _masticspoke.messages.guard import Report
+from _masticspoke.messages.guard import Withdrawn
+from _masticspoke.model import LoadReport
+from _masticspoke.model import Trace
+from _masticspoke.refusals import Reason
+from _masticspoke.refusals import Refusal
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.supervisor import Clock
+
+GateMessage = (
+    Admit
+    | Finished
+    | Withdrawn
+    | Report
+    | BackendAnnounced
+    | BackendLeaving
+    | CatalogueChanged
+)
+_SMOOTHING = 0.1
+_RECLAIM_EVERY_S = 1.0
+
+
+@final
+@dataclass(slots=True)
+class _GateState:
+    admission: AdmissionState
+    replies: dict[int, Reply[Admitted | NotAdmitted]] = field(default_factory=dict)
+    tickets: dict[Reply[Admitted | NotAdmitted], int] = field(default_factory=dict)
+    requests: RunningRequests = field(default_factory=RunningRequests)
+    backend: Backend = field(default_factory=Backend)
+    latency_s: float = 0.0
+    catalogue_version: int = 0
+    reclaimed: float = 0.0
+
+
+def gate(
+    inbox: Mailbox[GateMessage], clock: Clock, queue_calls: int, random: Random
+) -> ChildBody:
+    """Return the body of the gate's task.
+
+    :param queue_calls: calls that may wait.
+    :param random: source of the jitter of Retry-After.
+    """
+    tickets = count(1)
+
+    async def run(life: Lifecycle) -> None:
+        state = _GateState(AdmissionState(queue_calls, random))
+        handlers: Handlers[_GateState] = {**_HANDLERS, Admit: partial(_admit, tickets)}
+        try:
+            await serve(
+                inbox, state, handlers, clock, life, on_tick=_tick, wait_s=_wait_s
+            )
+        finally:
+            _apply(state, admission.refuse_all(state.admission, Reason.STOPPING), 0.0)
+
+    return run
+
+
+def _admit(
+    tickets: Iterator[int], state: _GateState, message: Admit, now: float
+) -> None:
+    call = message.call
+    reason = why_no_work(state.backend, now)
+    if is_loop(state.requests, call, message.fingerprint):
+        reason = Reason.LOOP
+    if reason is not None:
+        message.reply.answer(NotAdmitted(Refusal(reason), _load(state, now)))
+        return
+    ticket = next(tickets)
+    state.replies[ticket] = message.reply
+    state.tickets[message.reply] = ticket
+    note_running(state.requests, ticket, call, message.fingerprint)
+    _apply(state, admission.arrive(state.admission, ticket, call, now), now)
+
+
+def _finished(state: _GateState, message: Finished, now: float) -> None:
+    head_s = None if message.crashed else message.head_s or message.latency_s
+    if head_s is not None:
+        state.latency_s += _SMOOTHING * (head_s - state.latency_s)
+    _ended(state, message.ticket, head_s, now)
+
+
+def _ended(state: _GateState, ticket: int, head_s: float | None, now: float) -> None:
+    _forget(state, ticket)
+    _apply(state, admission.finish(state.admission, ticket, head_s, now), now)
+
+
+def _withdrawn(state: _GateState, message: Withdrawn, now: float) -> None:
+    ticket = state.tickets.get(message.reply)
+    if ticket is None:
+        return
+    if ticket in state.admission.running:
+        _ended(state, ticket, None, now)
+        return
+    _forget(state, ticket)
+    admission.withdraw(state.admission, ticket)
+
+
+def _forget(state: _GateState, ticket: int) -> Reply[Admitted | NotAdmitted] | None:
+    note_ended(state.requests, ticket)
+    reply = state.replies.pop(ticket, None)
+    if reply is not None:
+        del state.tickets[reply]
+    return reply
+
+
+def _report(state: _GateState, message: Report, now: float) -> None:
+    message.reply.answer(_load(state, now))
+
+
+def _announced(state: _GateState, message: BackendAnnounced, now: float) -> None:
+    before = state.backend
+    state.backend = announced(before, message.member, message.ttl_s, now)
+    if state.backend.since != before.since:
+        state.admission.limit = cold_limit(message.member.slots)
+    else:
+        announce_slots(state.admission.limit, message.member.slots)
+
+
+def _leaving(state: _GateState, message: BackendLeaving, now: float) -> None:
+    state.backend = left(state.backend)
+
+
+def _catalogue_changed(
+    state: _GateState, message: CatalogueChanged, now: float
+) -> None:
+    state.catalogue_version = message.catalogue.version
+    admission.catalogue_changed(state.admission, message.catalogue)
+
+
+def _tick(state: _GateState, now: float) -> None:
+    effects = admission.expire(state.admission, now)
+    if why_no_work(state.backend, now) is Reason.NO_BACKEND_SERVER:
+        reason = Reason.NO_BACKEND_SERVER
+        effects = (*effects, *admission.refuse_all(state.admission, reason))
+    _apply(state, effects, now)
+    if now - state.reclaimed >= _RECLAIM_EVERY_S:
+        state.reclaimed = now
+        for ticket in admission.overdue(state.admission, now):
+            _ended(state, ticket, None, now)
+
+
+def _wait_s(state: _GateState, now: float) -> float | None:
+    """Return the time until a queued call expires or a lost run is looked for."""
+    times = [admission.next_expiry(state.admission)]
+    if state.admission.running:
+        times.append(state.reclaimed + _RECLAIM_EVERY_S)
+    if state.admission.waiting.keys and not state.backend.leaving:
+        times.append(state.backend.expires)
+    return min((t - now for t in times if t is not None), default=None)
+
+
+def _apply(state: _GateState, effects: tuple[Effect, ...], now: float) -> None:
+    for effect in effects:
+        _APPLY[type(effect)](state, effect, now)
+
+
+def _apply_run(state: _GateState, effect: Run, now: float) -> None:
+    reply = state.replies[effect.ticket]
+    if reply.abandoned:
+        _ended(state, effect.ticket, None, now)
+        return
+    call = state.admission.running[effect.ticket].call
+    trace = Trace(call.action, secrets.token_hex(8))
+    member = state.backend.member
+    assert member is not None
+    report = _load(state, now)
+    reply.answer(Admitted(effect.ticket, member.backend, trace, report))
+
+
+def _apply_refuse(state: _GateState, effect: Refuse, now: float) -> None:
+    reply = _forget(state, effect.ticket)
+    if reply is not None:
+        reply.answer(NotAdmitted(effect.refusal, _load(state, now)))
+
+
+_APPLY: dict[type, Callable[..., None]] = {Run: _apply_run, Refuse: _apply_refuse}
+
+
+def _load(state: _GateState, now: float) -> LoadReport:
+    held = state.admission
+    return LoadReport(
+        in_flight=len(held.running) + len(held.waiting),
+        limit=held.limit.limit,
+        latency_s=state.latency_s,
+        admitted_rank=admitted_rank(held, now),
+        catalogue_version=state.catalogue_version,
+        leaving=state.backend.leaving,
+    )
+
+
+_HANDLERS: Handlers[_GateState] = {
+    Finished: _finished,
+    Withdrawn: _withdrawn,
+    Report: _report,
+    BackendAnnounced: _announced,
+    BackendLeaving: _leaving,
+    CatalogueChanged: _catalogue_changed,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/metrics/families.py
@@ -0,0 +1,135 @@
+"""The metrics of a node; ``docs/OPERATIONS.md`` says what to do about each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import final
+
+
+@final
+class MetricType(Enum):
+    """Types of the Prometheus text format."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    SUMMARY = "summary"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class MetricSpec:
+    """Name, type and meaning of a metric.
+
+    :param labels: names of its labels; a summary has ``quantile`` besides.
+    """
+
+    name: str
+    type: MetricType
+    help: str
+    labels: tuple[str, ...] = ()
+
+
+@final
+class Metric(Enum):
+    """All metrics that a node exposes."""
+
+    REQUESTS = MetricSpec(
+        "masticspoke_requests_total",
+        MetricType.COUNTER,
+        "Requests that ended at this node.",
+        ("port", "class", "outcome"),
+    )
+    REFUSALS = MetricSpec(
+        "masticspoke_refusals_total",
+        MetricType.COUNTER,
+        "Requests that this node refused.",
+        ("port", "class", "kind", "reason"),
+    )
+    RETRIES = MetricSpec(
+        "masticspoke_retries_total",
+        MetricType.COUNTER,
+        "Failed attempts that were followed by another one.",
+        ("class", "kind", "reason"),
+    )
+    ATTEMPTS = MetricSpec(
+        "masticspoke_attempts_total",
+        MetricType.COUNTER,
+        "Attempts at a backend server or at another node.",
+        ("port", "class"),
+    )
+    RESUMPTIONS = MetricSpec(
+        "masticspoke_resumptions_total",
+        MetricType.COUNTER,
+        "Answers whose rest was fetched from another backend server.",
+        ("class",),
+    )
+    LATENCY = MetricSpec(
+        "masticspoke_latency_seconds",
+        MetricType.SUMMARY,
+        "Time from a request's arrival until its whole answer was passed on.",
+        ("port", "class"),
+    )
+    ADDED_LATENCY = MetricSpec(
+        "masticspoke_added_latency_seconds",
+        MetricType.SUMMARY,
+        "Time up to the answer's head that the next process did not take.",
+        ("port",),
+    )
+    EVENTS = MetricSpec(
+        "masticspoke_events_total",
+        MetricType.COUNTER,
+        "Log events, by number.",
+        ("event",),
+    )
+    LOG_FAULTS = MetricSpec(
+        "masticspoke_log_faults_total",
+        MetricType.COUNTER,
+        "Requests to the log service that got no good answer.",
+        ("task",),
+    )
+    MAILBOX_FULL = MetricSpec(
+        "masticspoke_mailbox_full_total",
+        MetricType.COUNTER,
+        "Messages refused because a task's mailbox was full.",
+        ("mailbox",),
+    )
+    MAILBOX_DEPTH = MetricSpec(
+        "masticspoke_mailbox_depth",
+        MetricType.GAUGE,
+        "Messages that wait in a task's mailbox.",
+        ("mailbox",),
+    )
+    CATALOGUE_VERSION = MetricSpec(
+        "masticspoke_catalogue_version",
+        MetricType.GAUGE,
+        "Catalogue version in force at this node.",
+    )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One value of a metric.
+
+    :param labels: values in the order of the metric's label names.
+    """
+
+    metric: Metric
+    labels: tuple[str, ...]
+    value: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """Quantiles, sum and count of a summary.
+
+    :param quantiles: pairs of quantile and value; empty without recent values.
+    """
+
+    metric: Metric
+    labels: tuple[str, ...]
+    quantiles: tuple[tuple[float, float], ...]
+    sum: float
+    count: int
--- /dev/null
+++ b/build/lib/_masticspoke/metrics/recorder.py
@@ -0,0 +1,194 @@
+"""The recorder: owns the counters and the histograms of latency."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import final
+
+from _masticspoke.events import counted_events
+from _masticspoke.messages.control import CatalogueChanged
+from _masticspoke.messages.control import LogHealth
+from _masticspoke.metrics.account import Port
+from _masticspoke.metrics.account import RequestAccount
+from _masticspoke.metrics.account import RequestEnded
+from _masticspoke.metrics.families import Metric
+from _masticspoke.metrics.families import Sample
+from _masticspoke.metrics.families import Summary
+from _masticspoke.metrics.window import LatencyWindow
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.supervisor import Clock
+
+MAX_SERIES = 4_096
+MAX_CLASSES = 32
+OTHER = "other"
+_UNKNOWN = "unknown"
+_WINDOW_S = 60.0
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EventLogged:
+    """Anyone to recorder: a numbered event was logged."""
+
+    number: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AskMetrics:
+    """Anyone to recorder: all metrics, please."""
+
+    reply: Reply[tuple[Sample | Summary, ...]]
+
+
+RecorderMessage = RequestEnded | EventLogged | LogHealth | CatalogueChanged | AskMetrics
+Mailboxes = Mapping[str, Mailbox[Any]]
+
+
+@final
+@dataclass(slots=True)
+class _RecorderState:
+    mailboxes: Mailboxes
+    counters: Counter[tuple[Metric, tuple[str, ...]]] = field(default_factory=Counter)
+    latency: dict[tuple[Port, str], LatencyWindow] = field(default_factory=dict)
+    added: dict[Port, LatencyWindow] = field(default_factory=dict)
+    class_names: dict[int, str] = field(default_factory=dict)
+    catalogue_version: int = 0
+
+
+def recorder(
+    inbox: Mailbox[RecorderMessage], mailboxes: Mailboxes, clock: Clock
+) -> ChildBody:
+    """Return the body of the recorder's task; it counts from zero when it starts.
+
+    :param mailboxes: the mailboxes whose depth is exposed, by name.
+    """
+
+    async def run(life: Lifecycle) -> None:
+        state = _RecorderState(mailboxes)
+        with counted_events(lambda number: _tell_event(inbox, number)):
+            await serve(inbox, state, _HANDLERS, clock, life)
+
+    return run
+
+
+def _tell_event(inbox: Mailbox[RecorderMessage], number: int) -> None:
+    inbox.tell(EventLogged(number))
+
+
+def _request_ended(state: _RecorderState, message: RequestEnded, now: float) -> None:
+    account = message.account
+    port = message.port.value
+    class_name = _class_name(state, account.rank)
+    _count(state, Metric.REQUESTS, port, class_name, message.outcome.value)
+    if account.attempts:
+        _count(state, Metric.ATTEMPTS, port, class_name, amount=account.attempts)
+    if account.resumptions:
+        _count(state, Metric.RESUMPTIONS, class_name, amount=account.resumptions)
+    kind = account.kind or _UNKNOWN
+    if message.reason is not None:
+        _count(state, Metric.REFUSALS, port, class_name, kind, message.reason.value)
+    for reason in account.retried:
+        _count(state, Metric.RETRIES, class_name, kind, reason.value)
+    _record_latency(state, message, account, class_name, now)
+
+
+def _record_latency(
+    state: _RecorderState,
+    message: RequestEnded,
+    account: RequestAccount,
+    class_name: str,
+    now: float,
+) -> None:
+    added_s = account.added_s
+    if added_s is None:
+        return
+    key = (message.port, class_name)
+    window = state.latency.get(key)
+    if window is None:
+        window = state.latency[key] = LatencyWindow(_WINDOW_S, now)
+    window.record(message.latency_s, now)
+    added = state.added.get(message.port)
+    if added is None:
+        added = state.added[message.port] = LatencyWindow(_WINDOW_S, now)
+    added.record(added_s, now)
+
+
+def _class_name(state: _RecorderState, rank: int | None) -> str:
+    if rank is None:
+        return _UNKNOWN
+    return state.class_names.get(rank, OTHER)
+
+
+def _count(
+    state: _RecorderState, metric: Metric, *labels: str, amount: int = 1
+) -> None:
+    key = (metric, labels)
+    if key not in state.counters and len(state.counters) >= MAX_SERIES:
+        key = (metric, (OTHER,) * len(labels))
+    state.counters[key] += amount
+
+
+def _event_logged(state: _RecorderState, message: EventLogged, now: float) -> None:
+    _count(state, Metric.EVENTS, str(message.number))
+
+
+def _log_health(state: _RecorderState, message: LogHealth, now: float) -> None:
+    if message.fault:
+        _count(state, Metric.LOG_FAULTS, message.source)
+
+
+def _catalogue_changed(
+    state: _RecorderState, message: CatalogueChanged, now: float
+) -> None:
+    state.catalogue_version = message.catalogue.version
+    for spec in message.catalogue.classes:
+        if spec.rank in state.class_names or len(state.class_names) < MAX_CLASSES:
+            state.class_names[spec.rank] = spec.name
+
+
+def _ask_metrics(state: _RecorderState, message: AskMetrics, now: float) -> None:
+    message.reply.answer(tuple(_metrics(state, now)))
+
+
+def _metrics(state: _RecorderState, now: float) -> Iterator[Sample | Summary]:
+    for (metric, labels), value in sorted(
+        state.counters.items(), key=lambda item: (item[0][0].name, item[0][1])
+    ):
+        yield Sample(metric, labels, value)
+    for (port, class_name), window in state.latency.items():
+        yield _summary(Metric.LATENCY, (port.value, class_name), window, now)
+    for port, window in state.added.items():
+        yield _summary(Metric.ADDED_LATENCY, (port.value,), window, now)
+    for name, mailbox in state.mailboxes.items():
+        yield Sample(Metric.MAILBOX_FULL, (name,), mailbox.refused)
+        yield Sample(Metric.MAILBOX_DEPTH, (name,), mailbox.depth)
+    yield Sample(Metric.CATALOGUE_VERSION, (), state.catalogue_version)
+
+
+def _summary(
+    metric: Metric, labels: tuple[str, ...], window: LatencyWindow, now: float
+) -> Summary:
+    values = window.quantiles_s(_QUANTILES, now)
+    quantiles = () if values is None else tuple(zip(_QUANTILES, values, strict=True))
+    return Summary(metric, labels, quantiles, window.sum_s, window.count)
+
+
+_HANDLERS: Handlers[_RecorderState] = {
+    RequestEnded: _request_ended,
+    EventLogged: _event_logged,
+    LogHealth: _log_health,
+    CatalogueChanged: _catalogue_changed,
+    AskMetrics: _ask_metrics,
+}
--- /dev/null
+++ b/build/lib/_masticspoke/parts.py
@@ -0,0 +1,107 @@
+"""What the branches of a node share: mailboxes, connections, settings."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from dataclasses import dataclass
+from typing import final
+
+from _masticspoke.border.settings import Settings
+from _masticspoke.connections import Connections
+from _masticspoke.control.gossip import GossipMessage
+from _masticspoke.control.home import HomeMessage
+from _masticspoke.control.keeper import KeeperMessage
+from _masticspoke.control.log_writer import WriterMessage
+from _masticspoke.control.peer_client import PeerClient
+from _masticspoke.decisions.incarnation import first_incarnation
+from _masticspoke.decisions.once.model import Identity
+from _masticspoke.decisions.once.model import process_at
+from _masticspoke.decisions.once.model import SendConfirmAsked
+from _masticspoke.dispatch.router import RouterMessage
+from _masticspoke.guard.gate import GateMessage
+from _masticspoke.guard.runs import RunsMessage
+from _masticspoke.guard.suspect_sender import SenderMessage
+from _masticspoke.guard.suspects import SuspectsMessage
+from _masticspoke.messages.control import Resend
+from _masticspoke.metrics.recorder import RecorderMessage
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.planned_stop import PlannedStop
+
+# Time that the listeners get to close connections after requests were cut.
+CUT_S = 5.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """Mailboxes and connections that outlive a restart of their owners."""
+
+    settings: Settings
+    stop: PlannedStop
+    incarnation: str
+    router: Mailbox[RouterMessage]
+    gate: Mailbox[GateMessage]
+    runs: Mailbox[RunsMessage]
+    suspects: Mailbox[SuspectsMessage]
+    suspect_sender: Mailbox[SenderMessage]
+    watched: Latest[frozenset[int]]
+    keeper: Mailbox[KeeperMessage]
+    writer: Mailbox[WriterMessage]
+    recorder: Mailbox[RecorderMessage]
+    gossip: Mailbox[GossipMessage]
+    home: Mailbox[HomeMessage]
+    confirmer: Mailbox[SendConfirmAsked]
+    to_log: Connections
+    to_peers: Connections
+    to_nodes: Connections
+    to_backend: Connections
+
+
+def new_parts(settings: Settings) -> Parts:
+    """Return the shared parts of a node that starts."""
+    capacity = settings.limits.mailbox_messages
+    return Parts(
+        settings=settings,
+        stop=PlannedStop(settings.node.stop_timeout_s),
+        incarnation=first_incarnation(int(time.time() * 1000), secrets.token_hex(4)),
+        router=Mailbox(capacity),
+        gate=Mailbox(capacity),
+        runs=Mailbox(capacity),
+        suspects=Mailbox(capacity),
+        suspect_sender=Mailbox(capacity),
+        watched=Latest(frozenset()),
+        keeper=Mailbox(capacity),
+        writer=Mailbox(capacity),
+        recorder=Mailbox(capacity),
+        gossip=Mailbox(capacity),
+        home=Mailbox(capacity),
+        confirmer=Mailbox(capacity),
+        to_log=Connections(),
+        to_peers=Connections(),
+        to_nodes=Connections(),
+        to_backend=Connections(),
+    )
+
+
+def informed(parts: Parts, body: ChildBody) -> ChildBody:
+    """Return a body that, each time it starts, asks for what is in force."""
+
+    async def run(life: Lifecycle) -> None:
+        parts.keeper.tell(Resend())
+        await body(life)
+
+    return run
+
+
+def process_of(parts: Parts) -> Identity:
+    """Return this process, as views name it."""
+    return process_at(parts.settings.node.peer_address, parts.incarnation)
+
+
+def peer_client(parts: Parts) -> PeerClient:
+    """Return what control requests to other nodes are sent with."""
+    return PeerClient(parts.to_peers, parts.settings.peers.request_timeout_ms / 1000)
--- /dev/null
+++ b/build/lib/_masticspoke/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Adapters to the platform, one module each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/build/lib/_masticspoke/platform/__main__.py
@@ -0,0 +1,33 @@
+"""``python -m _masticspoke.platform``: run a node on the platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+from _masticspoke.errors import MasticspokeError
+from _masticspoke.errors import SettingsError
+from _masticspoke.platform.node import run_platform_node
+from _masticspoke.platform.settings import load_fleet_settings
+from _masticspoke.platform.settings import SETTINGS_VARIABLE
+
+
+def main() -> int:
+    """Run the node whose settings the platform names; return its exit code."""
+    try:
+        named = os.environ.get(SETTINGS_VARIABLE)
+        if not named:
+            raise SettingsError(
+                f"{SETTINGS_VARIABLE} is not set", "set it to the path of the settings"
+            )
+        path = Path(named)
+        run_platform_node(load_fleet_settings(path), path)
+    except MasticspokeError as error:
+        sys.stderr.write(f"masticspoke: {error}\n")
+        return error.exit_code
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/build/lib/_masticspoke/platform/backend_headers.py
@@ -0,0 +1,36 @@
+"""Headers between a node and the backend server beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict
+
+from _masticspoke.decisions.fleet.model import Job
+from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.platform.names import CALLER
+from _masticspoke.platform.names import DEADLINE_MS
+from _masticspoke.platform.names import INSTANCE_WANTED
+from _masticspoke.platform.names import NOT_EXECUTED
+from _masticspoke.platform.names import NOT_RUN_STATUS
+
+_MISDIRECTED = 421
+
+
+def set_backend_headers(
+    headers: CIMultiDict[str], job: Job, instance: str, left_s: float
+) -> None:
+    """Set what a backend server expects to find with each request.
+
+    :param left_s: time left for its answer, in seconds.
+    """
+    headers[DEADLINE_MS] = str(max(1, int(left_s * 1000)))
+    headers[INSTANCE_WANTED] = instance
+    headers[CALLER] = job.caller
+
+
+def read_not_run(status: int, headers: Mapping[str, str]) -> NotRun | None:
+    """Return why a backend server did not run a request; ``None`` if it did."""
+    if NOT_EXECUTED not in headers and status != _MISDIRECTED:
+        return None
+    return NOT_RUN_STATUS.get(status, NotRun.SHED)
--- /dev/null
+++ b/build/lib/_masticspoke/platform/ingress.py
@@ -0,0 +1,100 @@
+"""Requests of clients and of the own backend server, and readiness."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from aiohttp import web
+
+from _masticspoke.border.forwarding import forwarded
+from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.entry.listener import Handler
+from _masticspoke.fleet.front import Asked
+from _masticspoke.fleet.front import conduct
+from _masticspoke.fleet.front import Ended
+from _masticspoke.fleet.front import FrontPort
+from _masticspoke.fleet.front import Unanswered
+from _masticspoke.fleet.guarding import Passed
+from _masticspoke.fleet.guarding import Sent
+from _masticspoke.fleet.sending import Outlet
+from _masticspoke.platform.names import DEADLINE_MS
+from _masticspoke.platform.names import READINESS_PATH
+from _masticspoke.platform.names import REPLACED
+from _masticspoke.platform.names import REQUEST_ID
+from _masticspoke.platform.names import RETRY_AFTER
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.planned_stop import PlannedStop
+
+_STATUS: Mapping[Ended, int] = {
+    Ended.NOT_READY: 503,
+    Ended.NO_ROUTE: 404,
+    Ended.REFUSED: 503,
+    Ended.TOO_LATE: 503,
+    Ended.FAILED: 502,
+    Ended.EXPIRED: 504,
+}
+_MAX_DEADLINE_DIGITS = 9
+REASON_HEADER = "Masticspoke-Reason"
+
+
+def ingress_handler(port: FrontPort, own_host: str) -> Handler:
+    """Return the handler of requests that begin on this VM.
+
+    :param own_host: IP address of this VM; the own backend server calls from it.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        started = port.send.guard.clock()
+        target = request.raw_path
+        if not target.startswith("/"):
+            return web.Response(status=400, text="the target must be a path\n")
+        try:
+            body = await request.read() if request.can_read_body else b""
+        except web.RequestPayloadError:
+            return web.Response(status=400, text="the body did not arrive whole\n")
+        sent = Sent(request.method, target, forwarded(request.headers, REPLACED), body)
+        outlet = Outlet(request)
+        result = await conduct(port, _asked(request, own_host), sent, outlet, started)
+        if isinstance(result, Unanswered):
+            return _unanswered(result)
+        if isinstance(result, Passed):
+            return result.response
+        return web.Response(
+            status=result.status, headers=result.headers, body=result.body
+        )
+
+    return handle
+
+
+def _asked(request: web.BaseRequest, own_host: str) -> Asked:
+    deadline = request.headers.get(DEADLINE_MS, "")
+    known = deadline.isascii() and deadline.isdigit()
+    known = known and len(deadline) <= _MAX_DEADLINE_DIGITS
+    return Asked(
+        request_id=request.headers.get(REQUEST_ID, ""),
+        host=request.headers.get("Host", "").lower(),
+        path=request.raw_path.partition("?")[0],
+        budget_s=int(deadline) / 1000 if known else None,
+        nested=request.remote == own_host,
+    )
+
+
+def _unanswered(result: Unanswered) -> web.Response:
+    headers = {REASON_HEADER: result.reason}
+    if result.retry_s is not None:
+        headers[RETRY_AFTER] = f"{result.retry_s:.2f}"
+    return web.Response(status=_STATUS[result.how], headers=headers)
+
+
+def readiness_handler(
+    configuration: Latest[Configuration | None], stop: PlannedStop
+) -> Handler:
+    """Return the handler of the platform's question whether clients may come."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READINESS_PATH:
+            return web.Response(status=404)
+        ready = configuration.value is not None and not stop.under_way
+        return web.Response(status=200 if ready else 503)
+
+    return handle
--- /dev/null
+++ b/build/lib/_masticspoke/platform/log.py
@@ -0,0 +1,236 @@
+"""Client of the platform's append-only log."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import struct
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from typing import final
+
+import aiohttp
+
+from _masticspoke.messages.control import LogRecord
+from _masticspoke.model import Address
+
+# Topics of this name keep the newest record of each key for ever.
+KEYED_PREFIX = "keyed."
+_PART = "0"
+_LENGTH = struct.Struct(">I")
+_RANGE = struct.Struct(">QQ")
+_MAX_READ_KB = 1_024
+# The store answered that nothing was done.
+_REFUSED = frozenset({400, 403, 404, 409, 413, 429, 503, 507})
+
+
+@final
+class LogFault(Enum):
+    """Why the log gave no answer; the value says what is known."""
+
+    NOT_DONE = "the log refused or could not be reached; nothing was appended"
+    UNKNOWN = "the answer was lost; the records may have been appended"
+    MOVED_ON = "the stream ends at another offset; nothing was appended"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Offset of the first appended record."""
+
+    offset: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ReadResult:
+    """Records from one offset on.
+
+    :param records: in offset order.
+    :param next_offset: where to read on.
+    :param oldest_offset: oldest offset that is still retained.
+    """
+
+    records: tuple[LogRecord, ...]
+    next_offset: int
+    oldest_offset: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest value of each key.
+
+    :param next_offset: where to read on for later records.
+    """
+
+    values: Mapping[str, bytes]
+    next_offset: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LogClient:
+    """Connection to the log service.
+
+    :param session: owned by the task that owns the client.
+    :param timeout_s: time for one request.
+    """
+
+    session: aiohttp.ClientSession
+    address: Address
+    timeout_s: float
+
+
+async def append(
+    client: LogClient,
+    stream: str,
+    records: Sequence[bytes],
+    *,
+    expected_end: int | None = None,
+) -> Appended | LogFault:
+    """Append records to a stream, all or none.
+
+    :param expected_end: append only if the stream ends at this offset.
+    """
+    query = {"topic": stream, "part": _PART}
+    if expected_end is not None:
+        query["at"] = str(expected_end)
+    body = b"".join(_LENGTH.pack(len(record)) + record for record in records)
+    try:
+        async with client.session.post(
+            f"http://{client.address}/log-append",
+            params=query,
+            data=body,
+            timeout=aiohttp.ClientTimeout(total=client.timeout_s),
+        ) as response:
+            text = await response.read()
+            if response.status != 200:
+                return _append_fault(response.status)
+            return Appended(int(json.loads(text)["offset"]))
+    except aiohttp.ClientConnectorError:
+        return LogFault.NOT_DONE
+    except (TimeoutError, aiohttp.ClientError, ConnectionError):
+        return LogFault.UNKNOWN
+    except (ValueError, KeyError, TypeError):
+        return LogFault.UNKNOWN
+
+
+def _append_fault(status: int) -> LogFault:
+    if status == 412:
+        return LogFault.MOVED_ON
+    return LogFault.NOT_DONE if status in _REFUSED else LogFault.UNKNOWN
+
+
+async def read(
+    client: LogClient, stream: str, offset: int, wait_s: float
+) -> ReadResult | LogFault:
+    """Read records from ``offset`` on; wait up to ``wait_s`` for a first one.
+
+    When records at ``offset`` are no longer retained, the result has none and says
+    where to read on.
+    """
+    query = {
+        "topic": stream,
+        "part": _PART,
+        "from": str(offset),
+        "max_kilobytes": str(_MAX_READ_KB),
+        "wait_timeout_ms": str(int(wait_s * 1000)),
+    }
+    try:
+        async with client.session.get(
+            f"http://{client.address}/log-read",
+            params=query,
+            timeout=aiohttp.ClientTimeout(total=client.timeout_s + wait_s),
+        ) as response:
+            body = await response.read()
+            if response.status == 410:
+                first = int(json.loads(body)["first_offset"])
+                return ReadResult((), max(first, offset), first)
+            if response.status != 200:
+                return LogFault.NOT_DONE
+            return _read_result(stream, offset, body)
+    except (TimeoutError, aiohttp.ClientError, ConnectionError):
+        return LogFault.NOT_DONE
+    except (ValueError, KeyError, TypeError, struct.error):
+        return LogFault.NOT_DONE
+
+
+def _read_result(stream: str, offset: int, body: bytes) -> ReadResult:
+    _, oldest = _RANGE.unpack_from(body)
+    found = tuple(
+        LogRecord(stream, offset + number, data)
+        for number, data in enumerate(_records(body, _RANGE.size))
+    )
+    return ReadResult(found, offset + len(found), oldest)
+
+
+def _records(body: bytes, start: int) -> Iterator[bytes]:
+    while start < len(body):
+        (length,) = _LENGTH.unpack_from(body, start)
+        start += _LENGTH.size
+        if start + length > len(body):
+            raise ValueError("a record is cut short")
+        yield body[start : start + length]
+        start += length
+
+
+async def newest(client: LogClient, stream: str) -> Newest | LogFault:
+    """Return the newest value of each key of a keyed stream."""
+    values: dict[str, bytes] = {}
+    after = ""
+    end: int | None = None
+    while True:
+        page = await _newest_page(client, stream, after)
+        if isinstance(page, LogFault):
+            return page
+        try:
+            for item in page["items"]:
+                after = str(item["key"])
+                values[after] = base64.b64decode(item["value"])
+            # Pages are no snapshot: what came since the first one is read again.
+            end = int(page["range_end"]) if end is None else end
+            if not page.get("has_more"):
+                return Newest(values, end)
+        except (KeyError, TypeError, ValueError, binascii.Error):
+            return LogFault.NOT_DONE
+
+
+async def _newest_page(
+    client: LogClient, stream: str, after: str
+) -> dict[str, Any] | LogFault:
+    query = {"topic": stream, "part": _PART}
+    if after:
+        query["after"] = after
+    try:
+        async with client.session.get(
+            f"http://{client.address}/log-newest",
+            params=query,
+            timeout=aiohttp.ClientTimeout(total=client.timeout_s),
+        ) as response:
+            body = await response.read()
+            if response.status != 200:
+                return LogFault.NOT_DONE
+            page = json.loads(body)
+    except (TimeoutError, aiohttp.ClientError, ConnectionError, ValueError):
+        return LogFault.NOT_DONE
+    return page if isinstance(page, dict) else LogFault.NOT_DONE
+
+
+def keyed_record(key: str, value: bytes) -> bytes:
+    """Return the record that sets ``key`` in a keyed stream."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def split_keyed(record: bytes) -> tuple[str, bytes] | None:
+    """Return key and value of a record of a keyed stream, ``None`` if malformed."""
+    if not record or len(record) < 1 + record[0]:
+        return None
+    end = 1 + record[0]
+    return record[1:end].decode(errors="replace"), record[end:]
--- /dev/null
+++ b/build/lib/_masticspoke/supervise/lifecycle.py
@@ -0,0 +1,41 @@
+"""How a supervisor and one child tell each other about start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import final
+
+
+@final
+class Lifecycle:
+    """Start and stop signals of one run of a child."""
+
+    def __init__(self) -> None:
+        self._started = asyncio.Event()
+        self._stopping = asyncio.Event()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the supervisor asked the child to stop."""
+        return self._stopping.is_set()
+
+    def mark_started(self) -> None:
+        """Tell the supervisor that the next child may start."""
+        self._started.set()
+
+    def request_stop(self) -> None:
+        """Ask the child to finish what it has begun and return."""
+        self._stopping.set()
+
+    async def started(self) -> None:
+        """Wait until the child has started."""
+        await self._started.wait()
+
+    async def stopping(self) -> None:
+        """Wait until the child is asked to stop."""
+        await self._stopping.wait()
+
+
+ChildBody = Callable[[Lifecycle], Awaitable[None]]
--- /dev/null
+++ b/build/lib/_masticspoke/supervise/supervisor.py
@@ -0,0 +1,140 @@
+"""Supervisors: start children in order, restart crashed ones, stop in reverse."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import final
+
+from loguru import logger
+
+from _masticspoke.decisions.restart import decide_restart
+from _masticspoke.decisions.restart import Intensity
+from _masticspoke.decisions.restart import Verdict
+from _masticspoke.errors import TooManyRestartsError
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+
+Clock = Callable[[], float]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ChildSpec:
+    """One child of a supervisor.
+
+    :param name: unique among its siblings.
+    :param body: the child; it runs until cancelled or asked to stop.
+    :param stop_timeout_s: time that it gets to finish after a stop request;
+        with 0 it is cancelled at once.
+    """
+
+    name: str
+    body: ChildBody
+    stop_timeout_s: float = 0.0
+
+
+@final
+@dataclass(slots=True)
+class _Running:
+    spec: ChildSpec
+    life: Lifecycle
+    task: asyncio.Task[None]
+
+
+def supervisor(
+    name: str,
+    children: Sequence[ChildSpec],
+    clock: Clock,
+    intensity: Intensity | None = None,
+) -> ChildBody:
+    """Return a child body that supervises ``children``, one for one.
+
+    :raises TooManyRestartsError: out of the body, when children crash more often
+        than ``intensity`` allows; the supervisor above then decides.
+    """
+    allowed = intensity or Intensity()
+
+    async def run(life: Lifecycle) -> None:
+        running: dict[str, _Running] = {}
+        try:
+            for spec in children:
+                running[spec.name] = await _start(name, spec)
+            life.mark_started()
+            await _watch(name, running, life, clock, allowed)
+        finally:
+            await _stop_all(running)
+
+    return run
+
+
+async def _start(name: str, spec: ChildSpec) -> _Running:
+    life = Lifecycle()
+    task = asyncio.create_task(_body(spec, life), name=f"{name}/{spec.name}")
+    started = asyncio.create_task(life.started())
+    await asyncio.wait({task, started}, return_when=asyncio.FIRST_COMPLETED)
+    started.cancel()
+    return _Running(spec, life, task)
+
+
+async def _body(spec: ChildSpec, life: Lifecycle) -> None:
+    await spec.body(life)
+
+
+async def _watch(
+    name: str,
+    running: dict[str, _Running],
+    life: Lifecycle,
+    clock: Clock,
+    intensity: Intensity,
+) -> None:
+    crashes: tuple[float, ...] = ()
+    stopping = asyncio.create_task(life.stopping())
+    try:
+        while not life.is_stopping:
+            waits = {child.task for child in running.values()}
+            await asyncio.wait({stopping, *waits}, return_when=asyncio.FIRST_COMPLETED)
+            for child in [c for c in running.values() if c.task.done()]:
+                if life.is_stopping:
+                    return
+                verdict, crashes = decide_restart(crashes, intensity, clock())
+                _report(name, child)
+                if verdict is Verdict.GIVE_UP:
+                    raise TooManyRestartsError(
+                        f"child {child.spec.name} of {name} crashed too often",
+                        "look at its logged errors and restart the node",
+                    ) from _crash_of(child)
+                running[child.spec.name] = await _start(name, child.spec)
+    finally:
+        stopping.cancel()
+
+
+def _crash_of(child: _Running) -> BaseException | None:
+    return None if child.task.cancelled() else child.task.exception()
+
+
+def _report(name: str, child: _Running) -> None:
+    crash = _crash_of(child)
+    log_event(
+        Event.CHILD_CRASHED, supervisor=name, child=child.spec.name, error=repr(crash)
+    )
+    if crash is not None:
+        logger.opt(exception=crash).debug("child crashed")
+
+
+async def _stop_all(running: dict[str, _Running]) -> None:
+    for child in reversed(list(running.values())):
+        await _stop(child)
+
+
+async def _stop(child: _Running) -> None:
+    child.life.request_stop()
+    if not child.task.done() and child.spec.stop_timeout_s > 0:
+        await asyncio.wait({child.task}, timeout=child.spec.stop_timeout_s)
+    if not child.task.done():
+        child.task.cancel()
+    await asyncio.gather(child.task, return_exceptions=True)
