--- a/src/_masticspoke/border/hop.py
+++ b/src/_masticspoke/border/hop.py
@@ -13,6 +13,7 @@
 
 JOB_HEADER = "Masticspoke-Job"
 GUARD_HEADER = "Masticspoke-Guard"
+FATE_PATH = "/.masticspoke/fate"
 
 
 @final
@@ -108,3 +109,19 @@
         return None
     load = GuardLoad(running, queued, limit, run_ms / 1000, pressure_ms / 1000)
     return GuardAnswer(reason, bool(broke), bool(arrived), retry_ms / 1000, load)
+
+
+def encode_fate(request_id: str, asked_after_s: float) -> bytes:
+    """Return the question what became of a request sent ``asked_after_s`` ago."""
+    return json.dumps([request_id, int(asked_after_s * 1000) + 1]).encode()
+
+
+def decode_fate(body: bytes) -> tuple[str, float] | None:
+    """Return the request id and the seconds since it was sent."""
+    try:
+        request_id, asked_after_ms = json.loads(body)
+        if not isinstance(request_id, str):
+            return None
+        return request_id, int(asked_after_ms) / 1000
+    except (ValueError, TypeError):
+        return None
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -9,19 +9,23 @@
 
 from _masticspoke.border.backend_state import decode_state
 from _masticspoke.border.backend_state import SERVERS_STREAM
+from _masticspoke.border.hop import FATE_PATH
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.connections import connection_owner
 from _masticspoke.decisions.fleet.volume import Importance
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.listener import listener
 from _masticspoke.events import Event
+from _masticspoke.fleet.fates import fates
 from _masticspoke.fleet.followers import keyed_follower
 from _masticspoke.fleet.followers import OnValues
 from _masticspoke.fleet.followers import states_writer
 from _masticspoke.fleet.front import FrontPort
 from _masticspoke.fleet.gate import gate
 from _masticspoke.fleet.guarding import GuardPort
+from _masticspoke.fleet.inbound import fate_handler
 from _masticspoke.fleet.inbound import inbound_handler
+from _masticspoke.fleet.inbound import InboundPort
 from _masticspoke.fleet.messages import ConfigurationLearnt
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.parts import FleetParts
@@ -47,6 +51,10 @@
 _CLOSE_S = 1.0
 
 
+def _boot_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def reporting_branch(parts: FleetParts) -> ChildBody:
     """Return the supervisor of the trail."""
     write = nonblocking_writer(sys.stdout.fileno())
@@ -161,6 +169,7 @@
         ChildSpec("connections", kept, _CLOSE_S),
         ChildSpec("connections_once", once, _CLOSE_S),
         ChildSpec("gate", door),
+        ChildSpec("fates", fates(parts.fates, parts.fates_state, time.monotonic)),
     )
     return supervisor("guard", children, time.monotonic)
 
@@ -188,6 +197,7 @@
         guard_port(parts),
         settings.backend,
         settings.nodes.port,
+        _boot_clock,
     )
     return FrontPort(parts.configuration, send, parts.service)
 
@@ -200,8 +210,13 @@
     The last one stops first: clients leave before the guard's own port closes.
     """
     settings = parts.settings
+    port = InboundPort(guard_port(parts), parts.fates)
     inbound = inbound_handler(
-        guard_port(parts), {SYNC_PATH: sync_handler(sync_port(parts))}
+        port,
+        {
+            SYNC_PATH: sync_handler(sync_port(parts)),
+            FATE_PATH: fate_handler(port, _boot_clock),
+        },
     )
 
     def opened(name: str, address: Address, handler: Handler) -> ChildSpec:
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -5,18 +5,27 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import final
 
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
 from _masticspoke.border.forwarding import forwarded
+from _masticspoke.border.hop import decode_fate
 from _masticspoke.border.hop import decode_job
 from _masticspoke.border.hop import encode_guard
 from _masticspoke.border.hop import GUARD_HEADER
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
+from _masticspoke.decisions.fleet.fate import can_know
+from _masticspoke.decisions.fleet.model import Job
+from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.entry.listener import Handler
+from _masticspoke.fleet.fates import AskFate
+from _masticspoke.fleet.fates import FatesMessage
+from _masticspoke.fleet.fates import RunOnce
 from _masticspoke.fleet.guarding import Answer
 from _masticspoke.fleet.guarding import Broke
 from _masticspoke.fleet.guarding import Declined
@@ -24,14 +33,28 @@
 from _masticspoke.fleet.guarding import NO_HEADERS
 from _masticspoke.fleet.guarding import Passed
 from _masticspoke.fleet.guarding import run_job
+from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.fleet.guarding import Sent
 from _masticspoke.fleet.sending import Outlet
+from _masticspoke.supervise.ask import ask_or
+from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.supervisor import Clock
 
 OwnPaths = Mapping[str, Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]]
-_OWN_PREFIX = "/.masticspoke/"
+_BARRED = Declined(NotRun.UNREACHABLE, 0.0)
 
 
-def inbound_handler(port: GuardPort, own_paths: OwnPaths) -> Handler:
+@final
+@dataclass(frozen=True, slots=True)
+class InboundPort:
+    """What requests of other nodes need."""
+
+    guard: GuardPort
+    fates: Mailbox[FatesMessage]
+
+
+def inbound_handler(port: InboundPort, own_paths: OwnPaths) -> Handler:
     """Return the handler of requests of other nodes.
 
     :param own_paths: what nodes ask each other, by path.
@@ -48,8 +71,9 @@
     return handle
 
 
-async def _guard(port: GuardPort, request: web.BaseRequest) -> web.StreamResponse:
-    job = decode_job(request.headers.get(JOB_HEADER), port.clock())
+async def _guard(port: InboundPort, request: web.BaseRequest) -> web.StreamResponse:
+    guard = port.guard
+    job = decode_job(request.headers.get(JOB_HEADER), guard.clock())
     if job is None:
         return web.Response(status=400, text=f"{JOB_HEADER} is malformed\n")
     sent = Sent(
@@ -63,20 +87,58 @@
     async def stream(
         upstream: aiohttp.ClientResponse, headers: CIMultiDict[str]
     ) -> web.StreamResponse:
-        headers[GUARD_HEADER] = encode_guard(_said(port))
+        headers[GUARD_HEADER] = encode_guard(_said(guard))
         return await outlet.pass_on(upstream, headers)
 
-    result = await run_job(port, job, sent, stream)
+    async def run() -> RunResult:
+        return await run_job(guard, job, sent, stream)
+
+    result = await (run() if job.repeatable else _run_once(port, job, run))
+    return _response(guard, result)
+
+
+async def _run_once(
+    port: InboundPort, job: Job, run: Callable[[], Awaitable[RunResult]]
+) -> RunResult:
+    reply: Reply[RunResult | None] = Reply()
+    question = RunOnce(job.request_id, run, reply)
+    result = await ask_or(port.fates, question, reply, None)
+    return _BARRED if result is None else result
+
+
+def _response(guard: GuardPort, result: RunResult) -> web.StreamResponse:
     if isinstance(result, Passed):
         return result.response
     if isinstance(result, Answer):
-        result.headers[GUARD_HEADER] = encode_guard(_said(port))
-        return web.Response(
-            status=result.status, headers=result.headers, body=result.body
-        )
-    headers = {GUARD_HEADER: encode_guard(_said(port, result))}
+        headers = CIMultiDict(result.headers)
+        headers[GUARD_HEADER] = encode_guard(_said(guard))
+        return web.Response(status=result.status, headers=headers, body=result.body)
+    said = {GUARD_HEADER: encode_guard(_said(guard, result))}
     text = result.detail if isinstance(result, Broke) else ""
-    return web.Response(status=503, headers=headers, text=text)
+    return web.Response(status=503, headers=said, text=text)
+
+
+def fate_handler(port: InboundPort, boot_clock: Clock) -> Handler:
+    """Return the handler of a sender that lost the answer to a request.
+
+    :param boot_clock: also counts the time that a VM is suspended.
+    """
+    started = boot_clock()
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        asked = decode_fate(await request.read())
+        if asked is None:
+            return web.Response(status=400, text="malformed question\n")
+        request_id, asked_after_s = asked
+        if not can_know(boot_clock() - started, asked_after_s):
+            return _response(port.guard, Broke("the node has restarted since"))
+        reply: Reply[RunResult | None] = Reply()
+        question = AskFate(request_id, asked_after_s, reply)
+        unknown = Broke("the node can't tell")
+        found = await ask_or(port.fates, question, reply, unknown)
+        return _response(port.guard, _BARRED if found is None else found)
+
+    return handle
 
 
 def _said(port: GuardPort, result: Declined | Broke | None = None) -> GuardAnswer:
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -10,6 +10,8 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.fleet.dialect import Dialect
+from _masticspoke.fleet.fates import FatesMessage
+from _masticspoke.fleet.fates import FatesState
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.gate import Guarded
 from _masticspoke.fleet.placer import PlacerMessage
@@ -41,6 +43,8 @@
     registry: Mailbox[RegistryMessage]
     placer: Mailbox[PlacerMessage]
     gate: Mailbox[GateMessage]
+    fates: Mailbox[FatesMessage]
+    fates_state: FatesState
     unsaved: Mailbox[BackendServer]
     trail: Mailbox[TrailMessage]
     to_log: Connections
@@ -63,6 +67,8 @@
         registry=Mailbox(_CAPACITY),
         placer=Mailbox(_CAPACITY),
         gate=Mailbox(_CAPACITY),
+        fates=Mailbox(_CAPACITY),
+        fates_state=FatesState(),
         unsaved=Mailbox(_CAPACITY),
         trail=Mailbox(_CAPACITY),
         to_log=Connections(),
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -14,7 +14,9 @@
 
 from _masticspoke.border.forwarding import forwarded
 from _masticspoke.border.hop import decode_guard
+from _masticspoke.border.hop import encode_fate
 from _masticspoke.border.hop import encode_job
+from _masticspoke.border.hop import FATE_PATH
 from _masticspoke.border.hop import GUARD_HEADER
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
@@ -38,12 +40,15 @@
 from _masticspoke.fleet.placer import PlacerMessage
 from _masticspoke.model import Address
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.supervisor import Clock
 
 # Reasons that say nothing about whether the server fails.
 _NEUTRAL = frozenset({NotRun.BUSY, NotRun.TOO_LATE})
 _RETRY_S = 0.2
 # The guard's own word at the deadline tells more than a timeout here, seconds.
 _GUARD_GRACE_S = 0.02
+# A first question may meet the same broken connections as the request did.
+_FATE_TRIES = 2
 
 
 @final
@@ -53,6 +58,7 @@
 
     :param own: address of the own backend server.
     :param guard_port: TCP port of every node for requests of other nodes.
+    :param boot_clock: also counts the time that a VM is suspended.
     """
 
     placer: Mailbox[PlacerMessage]
@@ -60,6 +66,7 @@
     guard: GuardPort
     own: Address
     guard_port: int
+    boot_clock: Clock
 
 
 @final
@@ -127,13 +134,51 @@
     left_s = job.deadline - port.guard.clock()
     try:
         async with asyncio.timeout(left_s + _GUARD_GRACE_S):
-            await _exchange(port, job, server, sent, outlet, outcome)
+            await _exchange_or_settle(port, job, server, sent, outlet, outcome)
     except TimeoutError:
         outcome.result = Broke("deadline", expired=True)
+
+
+async def _exchange_or_settle(
+    port: SendPort,
+    job: Job,
+    server: BackendServer,
+    sent: Sent,
+    outlet: Outlet,
+    outcome: _Outcome,
+) -> None:
+    sent_at = port.boot_clock()
+    try:
+        await _exchange(port, job, server, sent, outlet, outcome)
     except NOT_CONNECTED:
         outcome.result = Declined(NotRun.UNREACHABLE, _RETRY_S)
     except (aiohttp.ClientError, ConnectionError) as error:
         outcome.result = Broke(f"node: {error!r}")
+        if not job.repeatable and outlet.response is None:
+            await _settle(port, job, server, sent_at, outlet, outcome)
+
+
+async def _settle(
+    port: SendPort,
+    job: Job,
+    server: BackendServer,
+    sent_at: float,
+    outlet: Outlet,
+    outcome: _Outcome,
+) -> None:
+    """Ask the guard what became of a request whose answer was lost."""
+    url = f"http://{_node(port, server)}{FATE_PATH}"
+    for _ in range(_FATE_TRIES):
+        question = encode_fate(job.request_id, port.boot_clock() - sent_at)
+        try:
+            async with port.connections.session.post(url, data=question) as upstream:
+                guard = decode_guard(upstream.headers.get(GUARD_HEADER))
+                if guard is not None:
+                    outcome.load = guard.load
+                    outcome.result = await _result(guard, upstream, outlet)
+                return
+        except (aiohttp.ClientError, ConnectionError):
+            continue  # the result stays: it may have run
 
 
 async def _exchange(
@@ -146,10 +191,9 @@
 ) -> None:
     headers = CIMultiDict(sent.headers)
     headers[JOB_HEADER] = encode_job(job, port.guard.clock())
-    node = Address(server.backend.host, port.guard_port)
     async with port.connections.session.request(
         sent.method,
-        URL(f"http://{node}{sent.target}", encoded=True),
+        URL(f"http://{_node(port, server)}{sent.target}", encoded=True),
         headers=headers,
         data=sent.body or None,
         allow_redirects=False,
@@ -162,6 +206,10 @@
         outcome.result = await _result(guard, upstream, outlet)
 
 
+def _node(port: SendPort, server: BackendServer) -> Address:
+    return Address(server.backend.host, port.guard_port)
+
+
 async def _result(
     guard: GuardAnswer, upstream: aiohttp.ClientResponse, outlet: Outlet
 ) -> RunResult:
--- /dev/null
+++ b/testing/decisions/fleet/test_routing.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testing.decisions.fleet.samples import route
+
+from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.decisions.fleet.model import Share
+from _masticspoke.decisions.fleet.routing import choose_service
+from _masticspoke.decisions.fleet.routing import find_route
+from _masticspoke.decisions.fleet.routing import Turns
+
+
+def configuration(*prefixes: str) -> Configuration:
+    routes = {("a.example", p): route(name=p, prefix=p) for p in prefixes}
+    return Configuration(1, routes)
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [
+        ("/read/7", "/read/"),
+        ("/read/old/7", "/read/old/"),
+        ("/read/old", "/read/"),
+        ("/read", None),
+        ("/", None),
+        ("", None),
+        ("/ready/7", None),
+    ],
+)
+def test_longest_prefix_wins(path: str, found: str | None) -> None:
+    chosen = find_route(configuration("/read/", "/read/old/"), "a.example", path)
+
+    assert (chosen.name if chosen else None) == found
+
+
+def test_routes_of_another_host_do_not_count() -> None:
+    assert find_route(configuration("/read/"), "b.example", "/read/7") is None
+
+
+def test_root_prefix_takes_the_rest() -> None:
+    chosen = find_route(configuration("/", "/read/"), "a.example", "/other")
+
+    assert chosen is not None
+    assert chosen.name == "/"
+
+
+@given(
+    st.lists(st.integers(1, 20), min_size=2, max_size=4),
+    st.floats(0, 1, exclude_max=True),
+)
+def test_weights_are_kept_in_short_spans(weights: list[int], offset: float) -> None:
+    shares = tuple(Share(f"s{i}", w) for i, w in enumerate(weights))
+    split = route(shares=shares)
+    turns = Turns(offset)
+    chosen = [choose_service(turns, split) for _ in range(200)]
+
+    for share in shares:
+        wanted = share.weight / sum(weights)
+        assert abs(chosen.count(share.service) / 200 - wanted) < 0.03
--- /dev/null
+++ b/testing/fleet/platform_fleet.py
@@ -0,0 +1,192 @@
+"""Nodes on the users' platform in the test's own event loop, each at its own IP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import count
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+from testing.live.fleet import free_port
+from testing.standins.log_service import application
+from testing.standins.log_service import LogService
+from testing.standins.platform_backend import PlatformBackend
+
+from _masticspoke.decisions.fleet.budget import BudgetBounds
+from _masticspoke.fleet.parts import FleetParts
+from _masticspoke.fleet.parts import new_fleet_parts
+from _masticspoke.fleet.settings import FleetSettings
+from _masticspoke.model import Address
+from _masticspoke.platform.log import keyed_record
+from _masticspoke.platform.node import DIALECT
+from _masticspoke.platform.node import platform_tree
+from _masticspoke.supervise.lifecycle import Lifecycle
+
+HOST = "shop.example"
+_NUMBERS = count(2)
+
+
+@dataclass
+class Node:
+    parts: FleetParts
+    backend: PlatformBackend
+    life: Lifecycle
+    task: asyncio.Task[None]
+
+    @property
+    def clients(self) -> str:
+        return str(self.parts.settings.clients)
+
+    @property
+    def control(self) -> str:
+        return str(self.parts.settings.control_plane)
+
+
+@dataclass
+class PlatformFleet:
+    session: aiohttp.ClientSession
+    folder: Path
+    log: LogService = field(default_factory=LogService)
+    log_port: int = field(default_factory=free_port)
+    ports: list[int] = field(default_factory=lambda: [free_port() for _ in range(6)])
+    nodes: list[Node] = field(default_factory=list)
+    version: int = 0
+    ids: count[int] = field(default_factory=count)
+    stop_timeout_s: float = 1.0
+
+    def publish(self, *rows: list[object]) -> None:
+        """Publish a configuration; each row is a route."""
+        self.version += 10
+        columns = [
+            "name",
+            "host",
+            "path_prefix",
+            "route_kind",
+            "timeout_ms",
+            "target_latency_ms",
+            "priority",
+            "weighted_clusters",
+            "max_attempts",
+            "service",
+        ]
+        value = {
+            "version": self.version,
+            "routes": {"columns": columns, "rows": list(rows)},
+            "services": {"columns": ["name", "health_check_path"], "rows": []},
+            "limits": {"max_body_bytes": 65536},
+        }
+        record = keyed_record("config", json.dumps(value).encode())
+        self.log.add(self.log.stream("keyed.op"), [record])
+
+    async def add(self, service: str, zone: str = "z1", **options: object) -> Node:
+        host = f"127.0.1.{next(_NUMBERS)}"
+        clients, nodes, readiness, control, own, metrics = self.ports
+        settings = FleetSettings(
+            name=f"node-{host}",
+            zone=zone,
+            service=service,
+            clients=Address(host, clients),
+            nodes=Address(host, nodes),
+            readiness=Address(host, readiness),
+            control_plane=Address(host, control),
+            backend=Address(host, own),
+            metrics=Address(host, metrics),
+            seeds=tuple(n.parts.settings.nodes.host for n in self.nodes[:3]),
+            log=Address("127.0.0.1", self.log_port),
+            budget=BudgetBounds(ratio=1.0, extra=1000.0),
+            stop_timeout_s=self.stop_timeout_s,
+        )
+        backend = PlatformBackend(
+            host,
+            own,
+            service,
+            f"i-{host}",
+            **options,  # type: ignore[arg-type]
+        )
+        await backend.start()
+        parts = new_fleet_parts(settings, DIALECT)
+        life = Lifecycle()
+        body = platform_tree(parts, self.folder / "node.ini")
+        task = asyncio.create_task(body(life))  # type: ignore[arg-type]
+        node = Node(parts, backend, life, task)
+        self.nodes.append(node)
+        await life.started()
+        assert await backend.announce(self.session, node.control) == 200
+        return node
+
+    async def know_each_other(self) -> None:
+        """Wait until every node knows every backend server and the configuration."""
+
+        def known() -> bool:
+            return all(
+                len(node.parts.known.members.by_address) == len(self.nodes)
+                and node.parts.configuration.value is not None
+                and node.parts.configuration.value.version == self.version
+                for node in self.nodes
+            )
+
+        await until(known)
+
+    async def ask(
+        self,
+        node: Node,
+        path: str,
+        method: str = "GET",
+        budget_ms: int = 2000,
+        body: bytes = b"",
+        **headers: str,
+    ) -> tuple[int, bytes, aiohttp.ClientResponse]:
+        request_id = f"r{next(self.ids)}"
+        sent = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": str(budget_ms),
+            **headers,
+        }
+        async with self.session.request(
+            method, f"http://{node.clients}{path}", headers=sent, data=body or None
+        ) as answer:
+            return answer.status, await answer.read(), answer
+
+
+async def until(found: Callable[[], bool], timeout_s: float = 5.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not found():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def platform_fleet(folder: Path) -> AsyncIterator[PlatformFleet]:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        fleet = PlatformFleet(session, folder)
+        runner = web.AppRunner(application(fleet.log), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", fleet.log_port).start()
+        try:
+            yield fleet
+        finally:
+            for node in fleet.nodes:
+                node.task.cancel()
+            await asyncio.gather(*(n.task for n in fleet.nodes), return_exceptions=True)
+            for node in fleet.nodes:
+                await node.backend.stop()
+            await runner.cleanup()
+
+
+def play(folder: Path, scenario: Callable[[PlatformFleet], Awaitable[None]]) -> None:
+    """Run a scenario with a fleet of its own."""
+
+    async def run() -> None:
+        async with platform_fleet(folder) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(run())
--- /dev/null
+++ b/testing/fleet/test_path.py
@@ -0,0 +1,272 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import aiohttp
+import pytest
+from testing.fleet.platform_fleet import Node
+from testing.fleet.platform_fleet import PlatformFleet
+from testing.fleet.platform_fleet import play
+from testing.fleet.platform_fleet import until
+
+READ = ["read", "shop.example", "/read/", "idempotent", 1500, 800, 1, None, 2, "desk"]
+BOOK = [
+    "book",
+    "shop.example",
+    "/book/",
+    "non_idempotent",
+    1500,
+    800,
+    1,
+    None,
+    2,
+    "desk",
+]
+
+
+async def two_desks(fleet: PlatformFleet, **options: object) -> tuple[Node, Node, Node]:
+    """Return a node without a desk, and two with one."""
+    fleet.publish(READ, BOOK)
+    entry = await fleet.add("board")
+    first = await fleet.add("desk", **options)
+    second = await fleet.add("desk", **options)
+    await fleet.know_each_other()
+    return entry, first, second
+
+
+def arrivals(*nodes: Node) -> list[str]:
+    return [a.request_id for node in nodes for a in node.backend.arrivals]
+
+
+def test_request_is_served_whole_through_another_vm(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, *desks = await two_desks(fleet)
+        status, body, answer = await fleet.ask(
+            entry, "/read/7?x=%20y", "POST", body=b"asked"
+        )
+        (arrival,) = desks[0].backend.arrivals + desks[1].backend.arrivals
+
+        assert status == 200
+        assert body.decode().endswith(arrival.request_id)
+        assert arrival.path == "/read/7?x=%20y"
+        assert arrival.body == b"asked"
+        assert 0 < arrival.deadline_ms <= 1500
+        assert arrival.caller == "board"
+        assert answer.headers["X-Response-Signature"]
+        assert not [h for h in answer.headers if h.startswith("Masticspoke")]
+
+    play(tmp_path, scenario)
+
+
+def test_forged_headers_of_the_system_end_at_the_entry(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, *desks = await two_desks(fleet)
+        forged = {
+            "X-Caller-Service": "forged",
+            "X-Expected-Instance": "forged",
+            "Masticspoke-Job": '["x","read","desk","forged",0,1,1,0,9,9]',
+        }
+        status, _, _ = await fleet.ask(entry, "/read/7", **forged)
+        (arrival,) = desks[0].backend.arrivals + desks[1].backend.arrivals
+
+        assert status == 200
+        assert arrival.caller == "board"
+
+    play(tmp_path, scenario)
+
+
+def test_without_a_route_404_and_without_a_configuration_503(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        node = await fleet.add("desk")
+        assert (await fleet.ask(node, "/read/7"))[0] == 503
+        fleet.publish(READ)
+        await fleet.know_each_other()
+        assert (await fleet.ask(node, "/none/7"))[0] == 404
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("fault", ["failing", "reset", "truncated", "unframed", "shed"])
+def test_repeatable_request_is_served_by_another_server(
+    tmp_path: Path, fault: str
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, second = await two_desks(fleet)
+        first.backend.faults = [fault]
+        second.backend.faults = [fault]
+        served = [(await fleet.ask(entry, f"/read/{n}"))[0] for n in range(6)]
+
+        assert served.count(200) >= 5
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("fault", ["reset", "truncated", "unframed"])
+def test_booking_that_may_have_run_is_not_sent_again(
+    tmp_path: Path, fault: str
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, second = await two_desks(fleet)
+        first.backend.faults = [fault]
+        second.backend.faults = [fault]
+        status, _, _ = await fleet.ask(entry, "/book/1", "POST", body=b"x")
+
+        assert status == 502
+        assert len(arrivals(first, second)) == 1
+
+    play(tmp_path, scenario)
+
+
+def test_booking_that_a_server_sheds_is_sent_on_and_refused_truthfully(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, second = await two_desks(fleet)
+        first.backend.faults = ["shed"]
+        second.backend.faults = ["shed", "shed"]
+        status, _, answer = await fleet.ask(entry, "/book/1", "POST", body=b"x")
+
+        assert status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert arrivals(first, second) == []
+
+    play(tmp_path, scenario)
+
+
+def test_answer_without_a_length_is_passed_on_when_it_is_whole(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, second = await two_desks(fleet)
+        first.backend.faults = ["unframed-whole"]
+        second.backend.faults = ["unframed-whole"]
+        status, body, _ = await fleet.ask(entry, "/book/1", "POST", body=b"x")
+
+        assert (status, body) == (200, b"all of it")
+
+    play(tmp_path, scenario)
+
+
+def test_late_second_answer_reaches_nobody(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ)
+        node = await fleet.add("desk", run_s=0.05)
+        await fleet.know_each_other()
+        node.backend.faults = ["extra"] * 10
+        for _ in range(10):
+            status, body, _ = await fleet.ask(node, "/read/1")
+            assert status == 200
+            assert body.decode().split()[-1] == node.backend.arrivals[-1].request_id
+
+    play(tmp_path, scenario)
+
+
+def test_answer_at_the_route_timeout(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, *_ = await two_desks(fleet, run_s=5.0)
+        began = time.monotonic()
+        status, _, _ = await fleet.ask(entry, "/read/1", budget_ms=30_000)
+
+        assert status == 504
+        assert 1.4 < time.monotonic() - began < 2.0
+
+    play(tmp_path, scenario)
+
+
+def test_work_ends_when_its_client_leaves(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, *desks = await two_desks(fleet, run_s=5.0)
+        asked = asyncio.create_task(fleet.ask(entry, "/read/1"))
+        await until(lambda: len(arrivals(*desks)) == 1)
+        asked.cancel()
+        (arrival,) = desks[0].backend.arrivals + desks[1].backend.arrivals
+        await until(lambda: arrival.cancelled, 0.5)
+
+    play(tmp_path, scenario)
+
+
+def test_leaving_server_gets_nothing_after_the_acknowledgement(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, _ = await two_desks(fleet)
+        control = first.control
+        assert await first.backend.announce(fleet.session, control, "draining") == 200
+        first.backend.arrivals.clear()
+        served = [(await fleet.ask(entry, f"/read/{n}"))[0] for n in range(10)]
+
+        assert served == [200] * 10
+        assert arrivals(first) == []
+
+    play(tmp_path, scenario)
+
+
+def test_server_at_a_reused_address_runs_nothing_of_the_old_service(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, _ = await two_desks(fleet)
+        first.backend.service = "board"
+        first.backend.instance = "i-other"
+        first.backend.born += 5_000
+        served = [(await fleet.ask(entry, f"/read/{n}"))[0] for n in range(6)]
+
+        assert served == [200] * 6
+        assert arrivals(first) == []
+
+    play(tmp_path, scenario)
+
+
+def test_configuration_reaches_a_node_that_the_log_turns_away(tmp_path: Path) -> None:
+    async def past_the_log(fleet: PlatformFleet) -> None:
+        fleet.publish(READ)
+        first = await fleet.add("desk")
+        await fleet.know_each_other()
+        fleet.log.faults.down = True
+        late = await fleet.add("board")
+        await until(lambda: late.parts.configuration.value is not None)
+        await until(lambda: len(late.parts.known.members.by_address) == 2)
+        assert (await fleet.ask(late, "/read/1"))[0] == 200
+        assert arrivals(first)
+
+    play(tmp_path, past_the_log)
+
+
+def test_lost_answer_of_a_booking_is_fetched_from_its_guard(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, second = await two_desks(fleet, run_s=0.3)
+        asked = asyncio.create_task(fleet.ask(entry, "/book/1", "POST", body=b"x"))
+        await until(lambda: len(arrivals(first, second)) == 1)
+        cut_hops(entry)
+        status, body, _ = await asked
+
+        assert status == 200
+        assert body.decode().endswith(arrivals(first, second)[0])
+
+    play(tmp_path, scenario)
+
+
+def cut_hops(node: Node) -> None:
+    """Break the connections from a node to others."""
+    connector = node.parts.to_nodes.session.connector
+    assert isinstance(connector, aiohttp.TCPConnector)
+    for protocol in list(connector._acquired):
+        assert protocol.transport is not None
+        protocol.transport.abort()
+
+
+def test_planned_stop_cuts_no_request(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.stop_timeout_s = 5.0
+        _, first, second = await two_desks(fleet, run_s=0.4)
+        asked = [asyncio.create_task(fleet.ask(first, "/read/1")) for _ in range(5)]
+        await until(lambda: len(arrivals(first, second)) == 5)
+        first.life.request_stop()
+        url = f"http://{first.parts.settings.readiness}/readiness"
+        async with fleet.session.get(url) as answer:
+            assert answer.status == 503
+        asked += [asyncio.create_task(fleet.ask(first, "/read/2")) for _ in range(5)]
+        served = [status for status, _, _ in await asyncio.gather(*asked)]
+        await first.task
+
+        assert served == [200] * 10
+
+    play(tmp_path, scenario)
--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -48,6 +48,9 @@
     "cli/log_access.py": "the log service sends no message when it is up again",
     "control/log_reader.py": "the log service sends no message when it is up again",
     "dispatch/keyed.py": "a silent home sends no message when another one is agreed",
+    "fleet/departure.py": "requests that end send no message to the task that waits",
+    "fleet/followers.py": "the log service sends no message when it is up again",
+    "fleet/sync.py": "a peer that has no news sends no message",
     "control/log_writer.py": "the log service sends no message when it is up again",
 }
 
--- /dev/null
+++ b/testing/standins/platform_backend.py
@@ -0,0 +1,212 @@
+"""Stand-in for a backend server on the users' platform, at its published protocol.
+
+It runs in the test's own event loop. ``faults`` says what happens to its next requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+
+@dataclass
+class Arrival:
+    request_id: str
+    path: str
+    body: bytes
+    deadline_ms: int
+    caller: str
+    cancelled: bool = False
+
+
+@dataclass
+class PlatformBackend:
+    """One incarnation of a backend server.
+
+    :param run_s: time that each request takes.
+    :param faults: what happens to the next requests, in order.
+    """
+
+    host: str
+    port: int
+    service: str
+    instance: str
+    run_s: float = 0.0
+    slots: int = 10
+    born: int = 1_000
+    faults: list[str] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    running: int = 0
+    sequence: int = 0
+    runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        server = web.Server(self.handle, handler_cancellation=True)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.host, self.port).start()
+
+    async def stop(self) -> None:
+        if self.runner is not None:
+            await self.runner.cleanup()
+            self.runner = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get("X-Attempt-Id", "")
+        if request.headers.get("X-Expected-Instance") != self.instance:
+            return web.Response(status=421, headers={"X-Instance-Id": self.instance})
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "shed":
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        arrival = Arrival(
+            request_id,
+            request.raw_path,
+            await request.read(),
+            int(request.headers["X-Deadline-Ms"]),
+            request.headers["X-Caller-Service"],
+        )
+        self.arrivals.append(arrival)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.run_s)
+        except asyncio.CancelledError:
+            arrival.cancelled = True
+            raise
+        finally:
+            self.running -= 1
+        make = FAULTS.get(fault, whole)
+        return await make(self, request, request_id)
+
+    def headers(self, request_id: str) -> dict[str, str]:
+        return {
+            "X-Attempt-Id": request_id,
+            "X-Response-Signature": f"{self.instance}.{request_id}",
+            "X-Backend-Load": f"{self.running},0,{self.slots}",
+        }
+
+    async def announce(
+        self, session: aiohttp.ClientSession, control: str, state: str = "ready"
+    ) -> int:
+        self.sequence += 1
+        beat = {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": "z1",
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        url = f"http://{control}/Instances.Heartbeat/{self.instance}"
+        async with session.post(url, json=beat) as answer:
+            return answer.status
+
+
+Make = Callable[
+    [PlatformBackend, web.BaseRequest, str], Coroutine[Any, Any, web.StreamResponse]
+]
+
+
+async def whole(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    body = f"{backend.instance} {request_id}".encode()
+    return web.Response(body=body, headers=backend.headers(request_id))
+
+
+async def failing(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    return web.Response(status=500, headers=backend.headers(request_id))
+
+
+async def reset(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+async def truncated(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers=backend.headers(request_id))
+    response.content_length = 100
+    await response.prepare(request)
+    await response.write(b"half")
+    assert request.transport is not None
+    request.transport.close()
+    return response
+
+
+async def extra(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    """Answer, and answer a second time a little later."""
+    transport = request.transport
+    assert transport is not None
+    head = "".join(f"{k}: {v}\r\n" for k, v in backend.headers(request_id).items())
+    again = f"HTTP/1.1 200 OK\r\n{head}Content-Length: 5\r\n\r\nagain".encode()
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.02, transport.write, again)
+    return await whole(backend, request, request_id)
+
+
+async def unframed(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    """Answer without a length; the connection is reset before the end."""
+    return await _unframed(backend, request, request_id, whole_body=False)
+
+
+async def unframed_whole(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    return await _unframed(backend, request, request_id, whole_body=True)
+
+
+async def _unframed(
+    backend: PlatformBackend,
+    request: web.BaseRequest,
+    request_id: str,
+    *,
+    whole_body: bool,
+) -> web.StreamResponse:
+    transport = request.transport
+    assert transport is not None
+    head = "".join(f"{k}: {v}\r\n" for k, v in backend.headers(request_id).items())
+    transport.write(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n".encode())
+    transport.write(b"all of it" if whole_body else b"half")
+    await asyncio.sleep(0.02)
+    if not whole_body:
+        _reset_on_close(transport)
+    transport.close()
+    return web.Response()
+
+
+def _reset_on_close(transport: asyncio.Transport) -> None:
+    linger = struct.pack("ii", 1, 0)
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+FAULTS: dict[str, Make] = {
+    "failing": failing,
+    "reset": reset,
+    "truncated": truncated,
+    "extra": extra,
+    "unframed": unframed,
+    "unframed-whole": unframed_whole,
+}
