--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import re
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -14,6 +15,10 @@
 from typing import TypeGuard
 
 PURE_FOLDER = "decisions"
+PLATFORM_FOLDER = "platform"
+# Headers, paths, streams and fields; single words are too common to tell.
+PLATFORM_NAME = re.compile(r"^X-|^/\w|^keyed\.|^[a-z]+(_[a-z]+)+$|^[A-Z][a-z]+-[A-Z]")
+STANDARD_NAMES = frozenset({"Retry-After", "control_plane", "utf-8"})
 IMPURE_MODULES = frozenset(
     {
         "aiohttp",
@@ -200,6 +205,29 @@
             yield Violation(module.path, node.lineno, "private names", found)
 
 
+def platform_names_stay_home(modules: Sequence[Module]) -> Iterator[Violation]:
+    """What only the platform calls so is written in its adapter and nowhere else."""
+    names = {
+        value
+        for module in modules
+        if module.folder == PLATFORM_FOLDER
+        for _, value in _texts(module)
+        if PLATFORM_NAME.search(value)
+    }
+    for module in modules:
+        if module.folder == PLATFORM_FOLDER:
+            continue
+        for line, value in _texts(module):
+            if value in names - STANDARD_NAMES:
+                yield Violation(module.path, line, "platform names", f"says {value!r}")
+
+
+def _texts(module: Module) -> Iterator[tuple[int, str]]:
+    for node in ast.walk(module.tree):
+        if isinstance(node, ast.Constant) and isinstance(node.value, str):
+            yield node.lineno, node.value
+
+
 def modules_say_what_they_are(modules: Sequence[Module]) -> Iterator[Violation]:
     """Each module starts with a docstring and the annotations import."""
     rule = "module header"
@@ -221,6 +249,7 @@
     classes_are_final,
     mailboxes_are_bounded,
     private_names_stay_home,
+    platform_names_stay_home,
     modules_say_what_they_are,
 )
 
--- a/testing/shape/test_check_shape.py
+++ b/testing/shape/test_check_shape.py
@@ -133,7 +133,10 @@
 
 
 def test_each_rule_has_a_planted_violation_and_is_run() -> None:
-    planted = {rule for rule, _, _ in BAD} | {rules.modules_say_what_they_are}
+    planted = {rule for rule, _, _ in BAD} | {
+        rules.modules_say_what_they_are,
+        rules.platform_names_stay_home,
+    }
 
     assert planted == set(rules.RULES)
 
@@ -155,3 +158,17 @@
 
     assert all(pauses.values())
     assert violations([]) == []
+
+
+@pytest.mark.parametrize(
+    ("name", "found"),
+    [("X-Own-Header", 1), ("/Own.Path/", 1), ("own_field", 1), ("Retry-After", 0)],
+)
+def test_platform_names_outside_the_adapter_are_found(name: str, found: int) -> None:
+    text = f"{HEADER}NAME = {name!r}\n"
+    modules = [
+        Module(path, ast.parse(text)) for path in ("platform/x.py", "entry/x.py")
+    ]
+    violations = list(rules.platform_names_stay_home(modules))
+
+    assert [v.path for v in violations] == ["entry/x.py"] * found
