Shorten what a planned restart costs a service

Change: the door closes when clients have gone (2.1 s), senders ask a leaving guard again after 0.3 s, and a node that starts asks its backend server whether it is still the one that the log knows, in place of waiting for the next heartbeat.

--- a/src/_masticspoke/decisions/fleet/placing.py
+++ b/src/_masticspoke/decisions/fleet/placing.py
@@ -36,14 +36,15 @@
 REPORT_AGE_S = 1.0
 # Run time assumed of a server that has not reported yet, seconds.
 UNKNOWN_RUN_S = 0.05
-# First pause after a server could not be used, by reason; doubled each time, seconds.
-FIRST_PAUSE_S = {
-    NotRun.UNREACHABLE: 1.0,
-    NotRun.ABSENT: 0.4,
-    NotRun.LEAVING: 2.0,
-    NotRun.MOVED: 0.5,
+# First and longest pause after a server could not be used, by reason; each is twice
+# the one before. A guard that answers costs a refused hop to ask again, one that does
+# not answer a connect time-out. Seconds.
+PAUSES_S = {
+    NotRun.UNREACHABLE: (1.0, 8.0),
+    NotRun.ABSENT: (0.3, 1.0),
+    NotRun.LEAVING: (0.3, 0.5),
+    NotRun.MOVED: (0.3, 1.0),
 }
-MAX_PAUSE_S = 8.0
 
 
 @final
@@ -197,13 +198,14 @@
     placing: Placing, address: Address, reason: NotRun, now: float
 ) -> bool:
     """Note that the server did not take a request; return whether that is news."""
-    first = FIRST_PAUSE_S.get(reason)
-    if first is None:
+    pauses = PAUSES_S.get(reason)
+    if pauses is None:
         return False
+    first, longest = pauses
     seen = _seen(placing, address)
     news = seen.paused_until <= now
     if news:
-        seen.pause_s = min(MAX_PAUSE_S, max(first, seen.pause_s * 2))
+        seen.pause_s = min(longest, max(first, seen.pause_s * 2))
         seen.paused_until = now + seen.pause_s
     return news
 
--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -27,7 +27,7 @@
 # Longest actual wait, as a part of the time to the objective.
 EXPIRY_SHARE = 0.6
 # A lane that waits is served at the latest after this many starts of other lanes.
-LANE_FLOOR = 6
+LANE_FLOOR = 10
 # Weight of the newest run in the smoothed time of a run.
 RUN_WEIGHT = 0.05
 # Time assumed of a run before any has ended, seconds.
@@ -43,7 +43,7 @@
 # Slots kept beyond the mean need, in standard deviations of a random arrival.
 RESERVE_DEVIATIONS = 2.0
 # Largest part of the slots that is kept for nested work.
-MAX_RESERVE = 0.7
+MAX_RESERVE = 0.85
 
 NESTED = -1
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -30,6 +30,8 @@
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.parts import FleetParts
 from _masticspoke.fleet.placer import placer
+from _masticspoke.fleet.probe import probe
+from _masticspoke.fleet.probe import ProbePort
 from _masticspoke.fleet.registry import Outlets
 from _masticspoke.fleet.registry import registry
 from _masticspoke.fleet.sending import SendPort
@@ -166,11 +168,15 @@
     echo = parts.dialect.echo_header
     kept = connection_owner(parts.to_backend, _CONNECT_TIMEOUT_S, True, echo)
     once = connection_owner(parts.to_backend_once, _CONNECT_TIMEOUT_S, False, echo)
+    asked = ProbePort(
+        parts.registry, parts.configuration, parts.to_backend_once, parts.dialect
+    )
     door = gate(parts.gate, parts.guarded, parts.trail, time.monotonic)
     children = (
         ChildSpec("connections", kept, _CLOSE_S),
         ChildSpec("connections_once", once, _CLOSE_S),
         ChildSpec("gate", door),
+        ChildSpec("probe", probe(asked)),
         ChildSpec("fates", fates(parts.fates, parts.fates_state, time.monotonic)),
     )
     return supervisor("guard", children, time.monotonic)
--- a/src/_masticspoke/fleet/departure.py
+++ b/src/_masticspoke/fleet/departure.py
@@ -16,13 +16,10 @@
 from _masticspoke.supervise.supervisor import Clock
 
 # The platform asks for readiness every second and takes a node out after two misses.
-UNREADY_S = 2.6
+UNREADY_S = 2.1
 # Time at the end that listeners get to finish what is in flight, seconds.
 _RESERVE_S = 1.2
-_CHECK_S = 0.1
-# The guard takes work for this long, so that a rolling restart costs less of its
-# service; what it admits last has the rest of the stop to finish, seconds.
-DOOR_OPEN_S = 1.5
+_CHECK_S = 0.05
 
 
 def departure(gate: Mailbox[GateMessage], stop: PlannedStop, clock: Clock) -> ChildBody:
@@ -37,9 +34,11 @@
         await life.stopping()
         began = clock()
         stop.begin(began)
-        await asyncio.sleep(min(DOOR_OPEN_S, stop.left_s(began) / 2))
+        # The guard takes work as long as clients come, so that a rolling restart
+        # costs its service as little time as possible.
+        await asyncio.sleep(min(UNREADY_S, stop.left_s(began) / 2))
         gate.tell(CloseDoor())
-        while clock() - began < UNREADY_S or await _running(gate):
+        while await _running(gate):
             if stop.left_s(clock()) < _RESERVE_S:
                 return
             await asyncio.sleep(_CHECK_S)
--- a/src/_masticspoke/fleet/dialect.py
+++ b/src/_masticspoke/fleet/dialect.py
@@ -14,6 +14,7 @@
 from _masticspoke.decisions.fleet.model import NotRun
 
 SetBackendHeaders = Callable[[CIMultiDict[str], Job, str, float], None]
+ReadHealth = Callable[[int, Mapping[str, str]], str | None]
 ReadNotRun = Callable[[int, Mapping[str, str]], NotRun | None]
 
 
@@ -26,6 +27,8 @@
     :param set_backend_headers: from headers, job, instance and seconds left.
     :param read_not_run: from status and headers of a backend server's answer; why
         it did not run the request, ``None`` if it did.
+    :param read_health: from status and headers of a health answer; the instance that
+        takes work, ``None`` if it takes none.
     :param configuration_stream: keyed stream of the log that the operator writes.
     :param configuration_key: key of the newest configuration in it.
     :param decode_configuration: ``None`` when it can't be read.
@@ -34,6 +37,7 @@
     echo_header: str
     set_backend_headers: SetBackendHeaders
     read_not_run: ReadNotRun
+    read_health: ReadHealth
     configuration_stream: str
     configuration_key: str
     decode_configuration: Callable[[bytes], Configuration | None]
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -176,6 +176,25 @@
     reply: Reply[bool]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class AskOwn:
+    """Probe to registry: the own backend server as others know it.
+
+    :param reply: ``None`` when nobody does, or when it has sent a heartbeat.
+    """
+
+    reply: Reply[BackendServer | None]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OwnConfirmed:
+    """Probe to registry: the own backend server is still this one."""
+
+    server: BackendServer
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class ServersLearnt:
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -14,11 +14,13 @@
 from _masticspoke.events import Event
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import AskKnown
+from _masticspoke.fleet.messages import AskOwn
 from _masticspoke.fleet.messages import ConfigurationLearnt
 from _masticspoke.fleet.messages import Deregistered
 from _masticspoke.fleet.messages import Heartbeat
 from _masticspoke.fleet.messages import Known
 from _masticspoke.fleet.messages import OwnBackend
+from _masticspoke.fleet.messages import OwnConfirmed
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.messages import StoreHealth
@@ -41,6 +43,8 @@
     | ConfigurationLearnt
     | StoreHealth
     | AskKnown
+    | AskOwn
+    | OwnConfirmed
 )
 # Changes are told to peers for this long, seconds.
 _RECENT_S = 5.0
@@ -49,12 +53,16 @@
 @final
 @dataclass(slots=True)
 class Knowledge:
-    """What must outlive a crash of the registry's task: versions never go back."""
+    """What must outlive a crash of the registry's task: versions never go back.
+
+    :param heard: whether the own backend server has sent a heartbeat.
+    """
 
     members: Members = field(default_factory=Members)
     raw: bytes = b""
     faults: dict[str, str] = field(default_factory=dict)
     changed_at: dict[Address, float] = field(default_factory=dict)
+    heard: bool = False
 
 
 @final
@@ -101,6 +109,7 @@
 
 
 def _heartbeat(state: _RegistryState, message: Heartbeat, now: float) -> None:
+    state.known.heard = True
     changed = _learn(state, (message.server,), "heartbeat", now)
     known = state.known.members.by_address.get(state.own)
     if known is not None and known.instance == message.server.instance:
@@ -120,6 +129,17 @@
     message.reply.answer(True)
 
 
+def _ask_own(state: _RegistryState, message: AskOwn, now: float) -> None:
+    own = state.known.members.by_address.get(state.own)
+    message.reply.answer(None if state.known.heard else own)
+
+
+def _own_confirmed(state: _RegistryState, message: OwnConfirmed, now: float) -> None:
+    own = state.known.members.by_address.get(state.own)
+    if own == message.server and not state.known.heard:
+        state.outlets.gate.tell(OwnBackend(own))
+
+
 def _names(message: Deregistered, known: BackendServer) -> bool:
     if message.instance != known.instance:
         return False
@@ -127,9 +147,10 @@
 
 
 def _servers_learnt(state: _RegistryState, message: ServersLearnt, now: float) -> None:
-    # The own backend server is known by its heartbeats; others' news may be older.
-    others = tuple(s for s in message.servers if s.backend != state.own)
-    _learn(state, others, message.source, now)
+    # The own backend server's heartbeats are newer than what others know of it.
+    known = state.known
+    news = (s for s in message.servers if s.backend != state.own or not known.heard)
+    _learn(state, tuple(news), message.source, now)
 
 
 def _learn(
@@ -221,4 +242,6 @@
     ConfigurationLearnt: _configuration,
     StoreHealth: _store_health,
     AskKnown: _ask_known,
+    AskOwn: _ask_own,
+    OwnConfirmed: _own_confirmed,
 }
--- a/src/_masticspoke/platform/backend_headers.py
+++ b/src/_masticspoke/platform/backend_headers.py
@@ -10,10 +10,12 @@
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.platform.names import CALLER
 from _masticspoke.platform.names import DEADLINE_MS
+from _masticspoke.platform.names import INSTANCE
 from _masticspoke.platform.names import INSTANCE_WANTED
 from _masticspoke.platform.names import NOT_EXECUTED
 from _masticspoke.platform.names import NOT_RUN_STATUS
 
+_OK = 200
 _MISDIRECTED = 421
 
 
@@ -34,3 +36,8 @@
     if NOT_EXECUTED not in headers and status != _MISDIRECTED:
         return None
     return NOT_RUN_STATUS.get(status, NotRun.SHED)
+
+
+def read_health(status: int, headers: Mapping[str, str]) -> str | None:
+    """Return the instance that says it is healthy and not leaving, if any."""
+    return headers.get(INSTANCE) if status == _OK else None
--- a/src/_masticspoke/platform/names.py
+++ b/src/_masticspoke/platform/names.py
@@ -13,8 +13,8 @@
 INSTANCE_WANTED = "X-Expected-Instance"
 CALLER = "X-Caller-Service"
 # Answer headers of backend servers.
+INSTANCE = "X-Instance-Id"
 NOT_EXECUTED = "X-Not-Executed"
-SIGNATURE = "X-Response-Signature"
 RETRY_AFTER = "Retry-After"
 
 # Set by each node itself, whatever a caller sent.
--- a/src/_masticspoke/platform/node.py
+++ b/src/_masticspoke/platform/node.py
@@ -23,6 +23,7 @@
 from _masticspoke.fleet.parts import new_fleet_parts
 from _masticspoke.fleet.settings import FleetSettings
 from _masticspoke.fleet.trail import Note
+from _masticspoke.platform.backend_headers import read_health
 from _masticspoke.platform.backend_headers import read_not_run
 from _masticspoke.platform.backend_headers import set_backend_headers
 from _masticspoke.platform.configuration import decode_configuration
@@ -46,6 +47,7 @@
     echo_header=REQUEST_ID,
     set_backend_headers=set_backend_headers,
     read_not_run=read_not_run,
+    read_health=read_health,
     configuration_stream=CONFIGURATION_STREAM,
     configuration_key=CONFIGURATION_KEY,
     decode_configuration=decode_configuration,
--- a/testing/decisions/fleet/test_queueing.py
+++ b/testing/decisions/fleet/test_queueing.py
@@ -57,7 +57,7 @@
     made.any_run_s = 0.01
     admit(made, 1, job(1, rank=2, objective_at=100.0, deadline=100.0), 0.0)
     started = []
-    for number in range(20):
+    for number in range(30):
         admit(made, 100 + number, job(100 + number, nested=True), 0.0)
         for verdict in finish(made, next(iter(made.running)), True, 0.01):
             started.append(verdict.ticket)
--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -55,6 +55,7 @@
     "dispatch/keyed.py": "a silent home sends no message when another one is agreed",
     "fleet/departure.py": "requests that end send no message to the task that waits",
     "fleet/followers.py": "the log service sends no message when it is up again",
+    "fleet/probe.py": "what it waits for is published without a message",
     "fleet/sync.py": "a peer that has no news sends no message",
     "control/log_writer.py": "the log service sends no message when it is up again",
 }
