--- a/build/lib/_masticspoke/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Private implementation; import :mod:`masticspoke` instead."""
-
-from __future__ import annotations
--- a/build/lib/_masticspoke/border/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Validated models and encodings: INI, HTTP headers and bodies, log records."""
-
-from __future__ import annotations
--- a/build/lib/_masticspoke/cli/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""The command line."""
-
-from __future__ import annotations
--- a/build/lib/_masticspoke/decisions/fleet/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Decisions of a node on a platform that announces backend servers by heartbeats."""
-
-from __future__ import annotations
--- /dev/null
+++ b/testing/platform/test_log.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import aiohttp
+from testing.standins.log_service import application
+from testing.standins.log_service import LogService
+from testing.test_node import serving
+
+from _masticspoke.model import Address
+from _masticspoke.platform.log import append
+from _masticspoke.platform.log import Appended
+from _masticspoke.platform.log import keyed_record
+from _masticspoke.platform.log import LogClient
+from _masticspoke.platform.log import LogFault
+from _masticspoke.platform.log import Newest
+from _masticspoke.platform.log import newest
+from _masticspoke.platform.log import read
+from _masticspoke.platform.log import ReadResult
+from _masticspoke.platform.log import split_keyed
+
+
+def play(scenario: Callable[[LogService, LogClient], Awaitable[None]]) -> None:
+    async def run() -> None:
+        log = LogService()
+        async with (
+            serving(application(log)) as port,
+            aiohttp.ClientSession() as session,
+        ):
+            await scenario(log, LogClient(session, Address("127.0.0.1", port), 0.5))
+
+    asyncio.run(run())
+
+
+def test_records_come_back_in_order_with_their_offsets() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        assert await append(client, "s", [b"a", b"", b"ccc"]) == Appended(0)
+        assert await append(client, "s", [b"d"]) == Appended(3)
+        found = await read(client, "s", 1, 0.0)
+        assert isinstance(found, ReadResult)
+        assert [(r.offset, r.data) for r in found.records] == [
+            (1, b""),
+            (2, b"ccc"),
+            (3, b"d"),
+        ]
+        assert found.next_offset == 4
+
+    play(scenario)
+
+
+def test_append_at_another_end_is_refused() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        assert await append(client, "s", [b"a"], expected_end=0) == Appended(0)
+        assert await append(client, "s", [b"b"], expected_end=0) is LogFault.MOVED_ON
+        assert log.stream("s").next == 1
+
+    play(scenario)
+
+
+def test_read_waits_for_a_record() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        waiting = asyncio.create_task(read(client, "s", 0, 5.0))
+        await asyncio.sleep(0.05)
+        log.add(log.stream("s"), [b"late"])
+        found = await waiting
+        assert isinstance(found, ReadResult)
+        assert [r.data for r in found.records] == [b"late"]
+
+    play(scenario)
+
+
+def test_history_that_is_gone_says_where_to_read_on() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        stream = log.stream("s")
+        log.add(stream, [b"a", b"b", b"c"])
+        log.trim(stream, 2)
+        assert await read(client, "s", 0, 0.0) == ReadResult((), 2, 2)
+
+    play(scenario)
+
+
+def test_newest_of_each_key_over_pages() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        stream = log.stream("keyed.s")
+        records = [keyed_record(f"k{n:04}", b"old") for n in range(1200)]
+        log.add(stream, [*records, keyed_record("k0007", b"new")])
+        log.add(stream, [keyed_record("k0008", b"")])
+        found = await newest(client, "keyed.s")
+        assert isinstance(found, Newest)
+        assert len(found.values) == 1199
+        assert found.values["k0007"] == b"new"
+        assert found.next_offset == 1202
+
+    play(scenario)
+
+
+def test_lost_answer_is_unknown_and_refusal_is_not_done() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        log.faults.lose_append_answers = 1
+        assert await append(client, "s", [b"a"]) is LogFault.UNKNOWN
+        assert log.stream("s").next == 1
+        log.faults.appends_per_s = 0
+        assert await append(client, "s", [b"b"]) is LogFault.NOT_DONE
+        log.faults.appends_per_s = 100
+        log.faults.down = True
+        assert await append(client, "s", [b"b"]) is LogFault.NOT_DONE
+        assert await read(client, "s", 0, 0.0) is LogFault.NOT_DONE
+        assert await newest(client, "keyed.s") is LogFault.NOT_DONE
+
+    play(scenario)
+
+
+def test_append_may_be_done_after_its_connection_broke() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        log.faults.late_appends = 1
+        assert await append(client, "s", [b"a"]) is LogFault.UNKNOWN
+        assert log.stream("s").next == 0
+        await asyncio.sleep(0.2)
+        assert log.stream("s").next == 1
+
+    play(scenario)
+
+
+def test_silent_log_is_given_up() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        log.faults.silent = True
+        assert await append(client, "s", [b"a"]) is LogFault.UNKNOWN
+        assert await read(client, "s", 0, 0.0) is LogFault.NOT_DONE
+
+    play(scenario)
+
+
+def test_key_and_value_of_a_record() -> None:
+    assert split_keyed(keyed_record("config", b"{}")) == ("config", b"{}")
+    assert split_keyed(keyed_record("config", b"")) == ("config", b"")
+    assert split_keyed(b"") is None
+    assert split_keyed(b"\x09abc") is None
--- /dev/null
+++ b/testing/platform/test_settings.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from _masticspoke.errors import SettingsError
+from _masticspoke.model import Address
+from _masticspoke.platform.settings import load_fleet_settings
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "node.ini"
+FIELDS = {
+    "node_name": "n1",
+    "zone": "a",
+    "service": "desk",
+    "ip": "10.1.0.8",
+    "listeners_by_port.outbound": "10.1.0.8:8304",
+    "listeners_by_port.inbound": "10.1.0.8:8300",
+    "listeners_by_port.readiness_address": "10.1.0.8:8302",
+    "listeners_by_port.control_plane": "10.1.0.8:8306",
+    "application_address": "10.1.0.8:8301",
+    "internal_port_range.0": "7620",
+    "seed_nodes": "10.1.0.9:8306,10.1.0.10:8306",
+    "platform.address": "10.200.1.7:8309",
+    "contract_bounds": "grace_period_s=6,retry_budget_extra=49,ack_binds=true",
+}
+
+
+def written(folder: Path, **changes: str) -> Path:
+    fields = {**FIELDS, **changes}
+    text = re.sub(r"{{(.*?)}}", lambda m: fields[m[1]], TEMPLATE.read_text("utf-8"))
+    path = folder / "node.ini"
+    path.write_text(text)
+    return path
+
+
+def test_template_gives_settings_under_our_own_names(tmp_path: Path) -> None:
+    settings = load_fleet_settings(written(tmp_path))
+
+    assert settings.clients == Address("10.1.0.8", 8304)
+    assert settings.seeds == ("10.1.0.9", "10.1.0.10")
+    assert settings.budget.extra == 49
+    assert settings.budget.ratio == 0.2
+    assert settings.stop_timeout_s == pytest.approx(5.4)
+
+
+def test_no_seeds_are_fine(tmp_path: Path) -> None:
+    assert load_fleet_settings(written(tmp_path, seed_nodes="")).seeds == ()
+
+
+def test_wrong_address_is_named(tmp_path: Path) -> None:
+    path = written(tmp_path, **{"platform.address": "nowhere"})
+
+    with pytest.raises(SettingsError, match=r"log\.address"):
+        load_fleet_settings(path)
+
+
+def test_missing_file_is_a_settings_error(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError, match="template"):
+        load_fleet_settings(tmp_path / "none.ini")
