--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -27,7 +27,7 @@
 # Requests on connections accepted just before the socket closed still arrive.
 LAST_ACCEPTED_S = 0.3
 BACKLOG = 1024
-CUT_TIMEOUT_S = 0.5
+CUT_TIMEOUT_S = 0.15
 
 
 @final
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -35,8 +35,10 @@
 
 # Guards that are asked in turn when the first ones have no room.
 MAX_DECLINED = 3
-# Retry-After where no guard said when room is expected, seconds.
-_RETRY_S = 0.3
+# Retry-After where no server takes work: about what a restart takes, seconds.
+_RETRY_S = 1.0
+# Reasons whose guards know when there is room.
+_GUARD_KNOWS = frozenset({NotRun.BUSY, NotRun.SHED})
 # A request without a deadline of its own gets this one, seconds.
 _DEFAULT_BUDGET_S = 30.0
 
@@ -196,7 +198,8 @@
     if isinstance(result, Declined):
         progress.declined += 1
         progress.arrived += result.arrived
-        progress.retry_s = result.retry_s
+        if result.reason in _GUARD_KNOWS:
+            progress.retry_s = result.retry_s
         progress.last = result.reason
     elif isinstance(result, Broke):
         progress.arrived += 1
--- a/src/_masticspoke/platform/settings.py
+++ b/src/_masticspoke/platform/settings.py
@@ -20,7 +20,7 @@
 SETTINGS_VARIABLE = "MASTICSPOKE_SETTINGS"
 _REMEDY = "correct the template deploy/node.ini or the platform's settings"
 # Part of the grace period that is left for ending connections, seconds.
-_LAST_S = 0.6
+_LAST_S = 0.8
 _DEFAULT_GRACE_S = 6.0
 
 
