Expose counters, latencies and the guard's state on the metrics address; end stops sooner

Cause: no metrics on the platform; processes outlived the grace period where connections to cut peers could not be closed (session.close waits for unsent bytes). Change: the trail counts every note, written or not. Closing connections is bounded. Request and header lines may have 64 KB, above what the operator's limits allow.

--- a/src/_masticspoke/connections.py
+++ b/src/_masticspoke/connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import functools
 import socket
 from typing import Any
@@ -17,7 +19,11 @@
 _KEEP_IDLE_S = 4.0
 # A connection whose peer acknowledges nothing for this long is broken, milliseconds.
 _UNACKNOWLEDGED_MS = 1_500
+# Connections with unsent bytes for a peer that is cut off never close, seconds.
+_CLOSE_S = 0.1
 READ_BUFFER_BYTES = 65_536
+# Longest request or header line; the operator's own limits lie below it.
+MAX_LINE_BYTES = 65_536
 # Nothing of a request was sent when one of these is raised.
 NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -151,6 +157,8 @@
             skip_auto_headers=_SKIPPED,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
             read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
             middlewares=(_send_once,),
             request_class=(
                 _request_class(echo_header) if echo_header else aiohttp.ClientRequest
@@ -158,10 +166,12 @@
         )
 
     async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close all connections; a peer that does not answer holds nothing up."""
+        session, self._session = self._session, None
+        if session is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_CLOSE_S):
+                    await session.close()
 
 
 def _connector(keep: bool) -> _Connector:
--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.entry.malformed import OnMalformed
 from _masticspoke.entry.malformed import request_factory
 from _masticspoke.events import Event
@@ -92,6 +93,8 @@
             access_log=None,
             handler_cancellation=True,
             auto_decompress=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
             request_factory=request_factory(on_malformed),
         )
         runner = web.ServerRunner(server, shutdown_timeout=CUT_TIMEOUT_S)
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -7,8 +7,12 @@
 from collections.abc import Mapping
 from random import Random
 
+from aiohttp import web
+
 from _masticspoke.border.backend_state import decode_state
 from _masticspoke.border.backend_state import SERVERS_STREAM
+from _masticspoke.border.exposition import encode_metrics
+from _masticspoke.border.exposition import EXPOSITION_TYPE
 from _masticspoke.border.hop import FATE_PATH
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.connections import connection_owner
@@ -16,6 +20,9 @@
 from _masticspoke.entry.listener import Handler
 from _masticspoke.entry.listener import listener
 from _masticspoke.events import Event
+from _masticspoke.fleet.counts import AskCounts
+from _masticspoke.fleet.counts import Counts
+from _masticspoke.fleet.counts import samples
 from _masticspoke.fleet.fates import fates
 from _masticspoke.fleet.followers import keyed_follower
 from _masticspoke.fleet.followers import OnValues
@@ -28,6 +35,7 @@
 from _masticspoke.fleet.inbound import InboundPort
 from _masticspoke.fleet.messages import ConfigurationLearnt
 from _masticspoke.fleet.messages import ServersLearnt
+from _masticspoke.fleet.note import Note
 from _masticspoke.fleet.parts import FleetParts
 from _masticspoke.fleet.placer import placer
 from _masticspoke.fleet.probe import probe
@@ -39,10 +47,11 @@
 from _masticspoke.fleet.sync import sync_task
 from _masticspoke.fleet.sync import SyncPort
 from _masticspoke.fleet.trail import nonblocking_writer
-from _masticspoke.fleet.trail import Note
 from _masticspoke.fleet.trail import trail
 from _masticspoke.model import Address
+from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import ChildSpec
 from _masticspoke.supervise.supervisor import supervisor
 
@@ -210,6 +219,23 @@
     return FrontPort(parts.configuration, send, parts.service)
 
 
+def metrics_handler(parts: FleetParts) -> Handler:
+    """Return the handler of the metrics address."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        reply: Reply[Counts] = Reply()
+        counts = await ask(parts.trail, AskCounts(reply), reply)
+        if counts is None:
+            return web.Response(status=503, text="the trail does not answer\n")
+        found = samples(
+            counts, parts.guarded.value, parts.configuration.value, time.monotonic()
+        )
+        headers = {"Content-Type": EXPOSITION_TYPE}
+        return web.Response(body=encode_metrics(found), headers=headers)
+
+    return handle
+
+
 def entry_branch(
     parts: FleetParts, ingress: Handler, control_plane: Handler, readiness: Handler
 ) -> ChildBody:
@@ -236,6 +262,7 @@
         return ChildSpec(name, body, settings.stop_timeout_s)
 
     children = (
+        opened("metrics", settings.metrics, metrics_handler(parts), 0.0),
         opened("control_plane", settings.control_plane, control_plane, 0.0),
         opened("readiness", settings.readiness, readiness, 0.0),
         opened("nodes", settings.nodes, inbound, _LAST_ACCEPTED_S),
--- /dev/null
+++ b/src/_masticspoke/fleet/counts.py
@@ -0,0 +1,123 @@
+"""Counters and latencies of a fleet's node, taken from its decisions' notes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from typing import final
+
+from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.events import Event
+from _masticspoke.fleet.messages import Guarded
+from _masticspoke.fleet.note import Note
+from _masticspoke.metrics.families import Metric
+from _masticspoke.metrics.families import Sample
+from _masticspoke.metrics.families import Summary
+from _masticspoke.metrics.window import LatencyWindow
+from _masticspoke.supervise.mailbox import Reply
+
+_WINDOW_S = 60.0
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+# Series of one metric; routes beyond are counted together.
+_MAX_SERIES = 2_048
+_OTHER = "other"
+
+
+@final
+@dataclass(slots=True)
+class Counts:
+    """What has been counted since the start."""
+
+    counters: Counter[tuple[Metric, tuple[str, ...]]] = field(default_factory=Counter)
+    latency: dict[tuple[str, str], LatencyWindow] = field(default_factory=dict)
+
+
+def count_note(counts: Counts, note: Note, now: float) -> None:
+    """Count a decision, whether its line is written or not."""
+    _add(counts, Metric.EVENTS, str(note.event.value.number))
+    counted = _COUNTED.get(note.event)
+    if counted is not None:
+        counted(counts, note, now)
+
+
+def count_dropped(counts: Counts, importance: str, lines: int) -> None:
+    """Count lines that were not written."""
+    counts.counters[Metric.FLEET_LINES_DROPPED, (importance,)] += lines
+
+
+def _request(counts: Counts, note: Note, now: float) -> None:
+    fields = note.fields
+    origin = "nested" if fields["nested"] else "client"
+    outcome = str(fields["outcome"])
+    reason = str(fields.get("reason", ""))
+    route = str(fields["route"])
+    _add(counts, Metric.FLEET_REQUESTS, origin, route, outcome, reason)
+    sends = fields["sends"]
+    assert isinstance(sends, list)
+    for sent in sends:
+        _add(counts, Metric.FLEET_SENDS, origin, str(sent).rpartition(":")[2])
+    window = counts.latency.get((origin, outcome))
+    if window is None:
+        window = LatencyWindow(_WINDOW_S, now)
+        counts.latency[origin, outcome] = window
+    took_ms = fields["took_ms"]
+    assert isinstance(took_ms, int)
+    window.record(took_ms / 1000, now)
+
+
+def _declined(counts: Counts, note: Note, now: float) -> None:
+    route, reason = str(note.fields["route"]), str(note.fields["reason"])
+    _add(counts, Metric.FLEET_DECLINED, route, reason)
+
+
+_COUNTED: dict[Event, Callable[[Counts, Note, float], None]] = {
+    Event.REQUEST_ENDED: _request,
+    Event.REQUEST_FAILED: _request,
+    Event.RUN_NOT_STARTED: _declined,
+}
+
+
+def _add(counts: Counts, metric: Metric, *labels: str) -> None:
+    key = (metric, labels)
+    if key not in counts.counters and len(counts.counters) >= _MAX_SERIES:
+        key = (metric, (_OTHER,) * len(labels))
+    counts.counters[key] += 1
+
+
+def samples(
+    counts: Counts, guarded: Guarded, configuration: Configuration | None, now: float
+) -> Iterator[Sample | Summary]:
+    """Return all that is exposed on the metrics address."""
+    for (metric, labels), value in counts.counters.items():
+        yield Sample(metric, labels, value)
+    for labels, window in counts.latency.items():
+        found = window.quantiles_s(_QUANTILES, now)
+        quantiles = () if found is None else tuple(zip(_QUANTILES, found, strict=True))
+        yield Summary(
+            Metric.FLEET_LATENCY, labels, quantiles, window.sum_s, window.count
+        )
+    load = guarded.load
+    for what, value in (
+        ("running", load.running),
+        ("waiting", load.queued),
+        ("limit", load.limit),
+        ("run_s", load.run_s),
+        ("pressure_s", load.pressure_s),
+    ):
+        yield Sample(Metric.FLEET_GUARD, (what,), value)
+    version = 0 if configuration is None else configuration.version
+    yield Sample(Metric.CONFIGURATION_VERSION, (), version)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AskCounts:
+    """Metrics listener to trail: all counters and latencies, please."""
+
+    reply: Reply[Counts]
+
+
+TrailMessage = Note | AskCounts
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -24,10 +24,10 @@
 from _masticspoke.fleet.messages import NoPlace
 from _masticspoke.fleet.messages import Place
 from _masticspoke.fleet.messages import Placement
+from _masticspoke.fleet.note import Note
 from _masticspoke.fleet.sending import Outlet
 from _masticspoke.fleet.sending import send
 from _masticspoke.fleet.sending import SendPort
-from _masticspoke.fleet.trail import Note
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.latest import Latest
--- a/src/_masticspoke/fleet/gate.py
+++ b/src/_masticspoke/fleet/gate.py
@@ -19,16 +19,17 @@
 from _masticspoke.decisions.fleet.throttle import lets_in
 from _masticspoke.decisions.fleet.throttle import Throttle
 from _masticspoke.events import Event
+from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.messages import Admit
 from _masticspoke.fleet.messages import AskRunning
 from _masticspoke.fleet.messages import BackendUnreachable
 from _masticspoke.fleet.messages import CallerLeft
 from _masticspoke.fleet.messages import CloseDoor
 from _masticspoke.fleet.messages import Downstream
+from _masticspoke.fleet.messages import Guarded
 from _masticspoke.fleet.messages import OwnBackend
 from _masticspoke.fleet.messages import RunEnded
-from _masticspoke.fleet.trail import Note
-from _masticspoke.fleet.trail import TrailMessage
+from _masticspoke.fleet.note import Note
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
@@ -52,15 +53,6 @@
 _PRESSURE_RETRY_S = 0.7
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class Guarded:
-    """What the gate publishes: the own backend server, and the load here."""
-
-    server: BackendServer | None = None
-    load: GuardLoad = field(default_factory=GuardLoad)
-
-
 @final
 @dataclass(slots=True)
 class _GateState:
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from dataclasses import field
 from typing import final
 
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -251,3 +252,12 @@
     """Sync task or inbound listener to registry."""
 
     reply: Reply[Known]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Guarded:
+    """What the gate publishes: the own backend server, and the load here."""
+
+    server: BackendServer | None = None
+    load: GuardLoad = field(default_factory=GuardLoad)
--- a/src/_masticspoke/fleet/placer.py
+++ b/src/_masticspoke/fleet/placer.py
@@ -23,6 +23,7 @@
 from _masticspoke.decisions.fleet.routing import choose_service
 from _masticspoke.decisions.fleet.routing import Turns
 from _masticspoke.events import Event
+from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import Downstream
 from _masticspoke.fleet.messages import NoPlace
@@ -30,8 +31,7 @@
 from _masticspoke.fleet.messages import Placement
 from _masticspoke.fleet.messages import SendEnded
 from _masticspoke.fleet.messages import ServersChanged
-from _masticspoke.fleet.trail import Note
-from _masticspoke.fleet.trail import TrailMessage
+from _masticspoke.fleet.note import Note
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -12,6 +12,7 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.events import Event
+from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import AskKnown
 from _masticspoke.fleet.messages import AskOwn
@@ -24,9 +25,8 @@
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.messages import StoreHealth
+from _masticspoke.fleet.note import Note
 from _masticspoke.fleet.placer import PlacerMessage
-from _masticspoke.fleet.trail import Note
-from _masticspoke.fleet.trail import TrailMessage
 from _masticspoke.model import Address
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
--- a/src/_masticspoke/fleet/trail.py
+++ b/src/_masticspoke/fleet/trail.py
@@ -13,11 +13,16 @@
 from dataclasses import field
 from typing import final
 
-from _masticspoke.decisions.fleet.volume import Importance
 from _masticspoke.decisions.fleet.volume import keeps
 from _masticspoke.decisions.fleet.volume import take_dropped
 from _masticspoke.decisions.fleet.volume import Volume
 from _masticspoke.events import Event
+from _masticspoke.fleet.counts import AskCounts
+from _masticspoke.fleet.counts import count_dropped
+from _masticspoke.fleet.counts import count_note
+from _masticspoke.fleet.counts import Counts
+from _masticspoke.fleet.counts import TrailMessage
+from _masticspoke.fleet.note import Note
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
@@ -28,17 +33,6 @@
 _MAX_WAITING_BYTES = 262_144
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class Note:
-    """A decision, with the inputs that decided it."""
-
-    event: Event
-    fields: Mapping[str, object]
-    importance: Importance = Importance.CHANGE
-
-
-TrailMessage = Note
 Write = Callable[[bytes], int]
 
 
@@ -47,6 +41,7 @@
 class _TrailState:
     node: str
     wall: Callable[[], float]
+    counts: Counts = field(default_factory=Counts)
     volume: Volume = field(default_factory=Volume)
     waiting: bytearray = field(default_factory=bytearray)
     lost: int = 0
@@ -72,22 +67,31 @@
         try:
             while True:
                 batch = await inbox.receive(_COLLECT_S if state.waiting else None)
-                for note in batch:
-                    _collect(state, note, clock())
+                for message in batch:
+                    _handle(state, message, clock())
                 _flush(state, write)
         finally:
-            for note in inbox.take():
-                _collect(state, note, clock())
+            for message in inbox.take():
+                _handle(state, message, clock())
             _flush(state, write)
 
     return run
 
 
+def _handle(state: _TrailState, message: TrailMessage, now: float) -> None:
+    if isinstance(message, AskCounts):
+        message.reply.answer(state.counts)
+    else:
+        _collect(state, message, now)
+
+
 def _collect(state: _TrailState, note: Note, now: float) -> None:
+    count_note(state.counts, note, now)
     if not keeps(state.volume, note.importance, now):
         return
     _add(state, note.event, note.fields)
     for importance, count in take_dropped(state.volume).items():
+        count_dropped(state.counts, importance.value, count)
         fields = {"importance": importance.value, "lines": count}
         _add(state, Event.LINES_DROPPED, fields)
 
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -100,6 +100,47 @@
         "Messages that wait in a task's mailbox.",
         ("mailbox",),
     )
+    FLEET_REQUESTS = MetricSpec(
+        "masticspoke_fleet_requests_total",
+        MetricType.COUNTER,
+        "Requests that began on this VM, by how they ended.",
+        ("origin", "route", "outcome", "reason"),
+    )
+    FLEET_SENDS = MetricSpec(
+        "masticspoke_fleet_sends_total",
+        MetricType.COUNTER,
+        "Sends to guards, by what came of each; beyond the first are repeats.",
+        ("origin", "result"),
+    )
+    FLEET_DECLINED = MetricSpec(
+        "masticspoke_fleet_declined_total",
+        MetricType.COUNTER,
+        "Requests that this node's guard did not run.",
+        ("route", "reason"),
+    )
+    FLEET_LATENCY = MetricSpec(
+        "masticspoke_fleet_latency_seconds",
+        MetricType.SUMMARY,
+        "Time from a request's arrival until its answer was ready to be passed on.",
+        ("origin", "outcome"),
+    )
+    FLEET_GUARD = MetricSpec(
+        "masticspoke_fleet_guard",
+        MetricType.GAUGE,
+        "State of the guard: running, waiting, limit, run time and pressure.",
+        ("what",),
+    )
+    FLEET_LINES_DROPPED = MetricSpec(
+        "masticspoke_fleet_lines_dropped_total",
+        MetricType.COUNTER,
+        "Log lines that were not written, by importance.",
+        ("importance",),
+    )
+    CONFIGURATION_VERSION = MetricSpec(
+        "masticspoke_configuration_version",
+        MetricType.GAUGE,
+        "Version of the configuration in force at this node.",
+    )
     CATALOGUE_VERSION = MetricSpec(
         "masticspoke_catalogue_version",
         MetricType.GAUGE,
--- a/src/_masticspoke/platform/control_plane.py
+++ b/src/_masticspoke/platform/control_plane.py
@@ -17,11 +17,11 @@
 from _masticspoke.decisions.fleet.volume import Importance
 from _masticspoke.entry.listener import Handler
 from _masticspoke.events import Event
+from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.messages import Deregistered
 from _masticspoke.fleet.messages import Heartbeat
+from _masticspoke.fleet.note import Note
 from _masticspoke.fleet.registry import RegistryMessage
-from _masticspoke.fleet.trail import Note
-from _masticspoke.fleet.trail import TrailMessage
 from _masticspoke.model import Address
 from _masticspoke.platform.names import DEREGISTER_PREFIX
 from _masticspoke.platform.names import HEARTBEAT_PREFIX
--- a/src/_masticspoke/platform/node.py
+++ b/src/_masticspoke/platform/node.py
@@ -19,10 +19,10 @@
 from _masticspoke.fleet.branches import reporting_branch
 from _masticspoke.fleet.departure import departure
 from _masticspoke.fleet.dialect import Dialect
+from _masticspoke.fleet.note import Note
 from _masticspoke.fleet.parts import FleetParts
 from _masticspoke.fleet.parts import new_fleet_parts
 from _masticspoke.fleet.settings import FleetSettings
-from _masticspoke.fleet.trail import Note
 from _masticspoke.platform.backend_headers import read_health
 from _masticspoke.platform.backend_headers import read_not_run
 from _masticspoke.platform.backend_headers import set_backend_headers
@@ -128,7 +128,11 @@
         life = Lifecycle()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, life.request_stop)
-        fields = {"zone": settings.zone, "service": settings.service}
+        fields = {
+            "zone": settings.zone,
+            "service": settings.service,
+            "metrics": str(settings.metrics),
+        }
         parts.trail.tell(Note(Event.NODE_STARTED, fields))
         await platform_tree(parts, path)(life)
 
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -270,3 +270,25 @@
         assert served == [200] * 10
 
     play(tmp_path, scenario)
+
+
+def test_metrics_count_what_became_of_requests(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, first, second = await two_desks(fleet)
+        for number in range(4):
+            await fleet.ask(entry, f"/read/{number}")
+        first.backend.faults = second.backend.faults = ["shed"] * 4
+        await fleet.ask(entry, "/book/1", "POST", body=b"x")
+        await fleet.ask(entry, "/none/1")
+        url = f"http://{entry.parts.settings.metrics}/metrics"
+        async with fleet.session.get(url) as answer:
+            lines = (await answer.text()).splitlines()
+
+        name = "masticspoke_fleet_requests_total"
+        read = 'origin="client",route="read",outcome="200",reason=""'
+        book = 'origin="client",route="book",outcome="refused",reason="shed"'
+        assert f"{name}{{{read}}} 4" in lines
+        assert f"{name}{{{book}}} 1" in lines
+        assert "masticspoke_configuration_version 10" in lines
+
+    play(tmp_path, scenario)
