--- a/src/_masticspoke/fleet/counts.py
+++ b/src/_masticspoke/fleet/counts.py
@@ -91,8 +91,8 @@
     counts: Counts, guarded: Guarded, configuration: Configuration | None, now: float
 ) -> Iterator[Sample | Summary]:
     """Return all that is exposed on the metrics address."""
-    for (metric, labels), value in counts.counters.items():
-        yield Sample(metric, labels, value)
+    for (metric, labels), count in counts.counters.items():
+        yield Sample(metric, labels, count)
     for labels, window in counts.latency.items():
         found = window.quantiles_s(_QUANTILES, now)
         quantiles = () if found is None else tuple(zip(_QUANTILES, found, strict=True))
@@ -100,13 +100,14 @@
             Metric.FLEET_LATENCY, labels, quantiles, window.sum_s, window.count
         )
     load = guarded.load
-    for what, value in (
+    state: tuple[tuple[str, float], ...] = (
         ("running", load.running),
         ("waiting", load.queued),
         ("limit", load.limit),
         ("run_s", load.run_s),
         ("pressure_s", load.pressure_s),
-    ):
+    )
+    for what, value in state:
         yield Sample(Metric.FLEET_GUARD, (what,), value)
     version = 0 if configuration is None else configuration.version
     yield Sample(Metric.CONFIGURATION_VERSION, (), version)
