Tell nested requests by their running parent, not by their address

Cause: clients and the own backend server send from the same address, so every request counted as nested: no slot was kept, no rank and no pressure counted. Ruled out: routes (a route does not say who uses it) and deadlines. Change: a request is nested if its id extends that of a request that runs here now.

--- a/src/_masticspoke/cli/main.py
+++ b/src/_masticspoke/cli/main.py
@@ -12,6 +12,7 @@
 from _masticspoke.cli.catalogue import check_catalogue
 from _masticspoke.cli.catalogue import show_catalogue
 from _masticspoke.cli.catalogue import show_history
+from _masticspoke.cli.explain import explain_request
 from _masticspoke.cli.node import start_node
 from _masticspoke.cli.status import show_status
 from _masticspoke.errors import MasticspokeError
@@ -44,6 +45,10 @@
     )
     status.add_argument("--json", action="store_true", help="print JSON")
     status.set_defaults(command=show_status)
+    explain = commands.add_parser("explain", help="say why a request ended so")
+    explain.add_argument("id", help="the request's id")
+    explain.add_argument("files", nargs="+", type=Path, help="logs of nodes")
+    explain.set_defaults(command=explain_request)
     _add_catalogue(
         commands.add_parser("catalogue", help="check or change the catalogue")
     )
--- a/src/_masticspoke/errors.py
+++ b/src/_masticspoke/errors.py
@@ -65,3 +65,10 @@
     """A node did not answer."""
 
     exit_code = 7
+
+
+@final
+class LogFileError(MasticspokeError):
+    """A node's log file can't be read, or does not hold what is asked for."""
+
+    exit_code = 8
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -202,6 +202,7 @@
         parts.trail,
         time.monotonic,
         parts.tickets,
+        parts.parents,
     )
 
 
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 from typing import final
 
+from _masticspoke.decisions.fleet.lineage import is_nested
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Job
@@ -77,14 +78,12 @@
     """What a caller asks for.
 
     :param budget_s: time that it waits; ``None`` if it did not say.
-    :param nested: whether the own backend server makes the request.
     """
 
     request_id: str
     host: str
     path: str
     budget_s: float | None
-    nested: bool
 
 
 @final
@@ -105,6 +104,7 @@
 class _Progress:
     """What has become of one request so far.
 
+    :param nested: whether a request that runs here made it.
     :param tried: servers that it was sent to.
     :param arrived: sends that reached a backend server.
     :param declined: sends that a guard declined.
@@ -113,6 +113,7 @@
 
     route: Route
     started: float
+    nested: bool
     service: str | None = None
     tried: list[Address] = field(default_factory=list)
     sends: list[str] = field(default_factory=list)
@@ -141,7 +142,8 @@
     if route is None:
         _note_end(port, asked, None, Unanswered(Ended.NO_ROUTE, "no-route"), started)
         return Unanswered(Ended.NO_ROUTE, "no-route")
-    progress = _Progress(route, started)
+    nested = is_nested(port.send.guard.parents, asked.request_id)
+    progress = _Progress(route, started, nested)
     result = await _attempts(port, asked, progress, sent, outlet)
     _note_end(port, asked, progress, result, started)
     return result
@@ -186,7 +188,7 @@
         caller=port.service.value,
         rank=route.rank,
         repeatable=route.repeatable,
-        nested=asked.nested,
+        nested=progress.nested,
         repeat=progress.arrived > 0,
         objective_at=progress.started + route.objective_s,
         deadline=progress.started + min(budget_s, route.timeout_s),
@@ -259,7 +261,7 @@
         "id": asked.request_id,
         "route": "" if progress is None else progress.route.name,
         "version": 0 if configuration is None else configuration.version,
-        "nested": asked.nested,
+        "nested": progress is not None and progress.nested,
         "took_ms": int((guard.clock() - started) * 1000),
         "sends": [] if progress is None else progress.sends,
     }
--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -18,6 +18,9 @@
 from _masticspoke.connections import Connections
 from _masticspoke.connections import NOT_CONNECTED
 from _masticspoke.connections import was_reset
+from _masticspoke.decisions.fleet.lineage import Parents
+from _masticspoke.decisions.fleet.lineage import run_began
+from _masticspoke.decisions.fleet.lineage import run_ended
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import Job
@@ -119,6 +122,7 @@
 
     :param kept: connections that serve several requests.
     :param fresh: connections that serve one request that must not run twice.
+    :param parents: requests that run, kept by their tasks.
     """
 
     gate: Mailbox[GateMessage]
@@ -129,6 +133,7 @@
     trail: Mailbox[TrailMessage]
     clock: Clock
     tickets: count[int]
+    parents: Parents
 
     @property
     def load(self) -> GuardLoad:
@@ -153,12 +158,14 @@
             _note_declined(port, job, declined)
             return declined
         admitted = True
+        run_began(port.parents, job.request_id)
         result = await _at_backend(port, job, sent, stream)
         ran = isinstance(result, Answer | Passed)
         _note(port, job, result)
         return result
     finally:
         if admitted:
+            run_ended(port.parents, job.request_id)
             port.gate.tell(RunEnded(ticket, ran))
         else:
             port.gate.tell(CallerLeft(ticket))
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from _masticspoke.connections import Connections
+from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.fleet.counts import TrailMessage
@@ -40,6 +41,7 @@
     service: Latest[str]
     guarded: Latest[Guarded]
     tickets: count[int]
+    parents: Parents
     registry: Mailbox[RegistryMessage]
     placer: Mailbox[PlacerMessage]
     gate: Mailbox[GateMessage]
@@ -64,6 +66,7 @@
         service=Latest(settings.service),
         guarded=Latest(Guarded()),
         tickets=count(),
+        parents=Parents(),
         registry=Mailbox(_CAPACITY),
         placer=Mailbox(_CAPACITY),
         gate=Mailbox(_CAPACITY),
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -37,11 +37,8 @@
 REASON_HEADER = "Masticspoke-Reason"
 
 
-def ingress_handler(port: FrontPort, own_host: str) -> Handler:
-    """Return the handler of requests that begin on this VM.
-
-    :param own_host: IP address of this VM; the own backend server calls from it.
-    """
+def ingress_handler(port: FrontPort) -> Handler:
+    """Return the handler of requests that begin on this VM."""
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         started = port.send.guard.clock()
@@ -54,7 +51,7 @@
             return web.Response(status=400, text="the body did not arrive whole\n")
         sent = Sent(request.method, target, forwarded(request.headers, REPLACED), body)
         outlet = Outlet(request)
-        result = await conduct(port, _asked(request, own_host), sent, outlet, started)
+        result = await conduct(port, _asked(request), sent, outlet, started)
         if isinstance(result, Unanswered):
             return _unanswered(result)
         if isinstance(result, Passed):
@@ -66,7 +63,7 @@
     return handle
 
 
-def _asked(request: web.BaseRequest, own_host: str) -> Asked:
+def _asked(request: web.BaseRequest) -> Asked:
     deadline = request.headers.get(DEADLINE_MS, "")
     known = deadline.isascii() and deadline.isdigit()
     known = known and len(deadline) <= _MAX_DEADLINE_DIGITS
@@ -75,7 +72,6 @@
         host=request.headers.get("Host", "").lower(),
         path=request.raw_path.partition("?")[0],
         budget_s=int(deadline) / 1000 if known else None,
-        nested=request.remote == own_host,
     )
 
 
--- a/src/_masticspoke/platform/node.py
+++ b/src/_masticspoke/platform/node.py
@@ -60,7 +60,7 @@
     :param path: the settings file.
     """
     settings = parts.settings
-    ingress = ingress_handler(front_port(parts), settings.nodes.host)
+    ingress = ingress_handler(front_port(parts))
     control = control_plane_handler(parts.registry, parts.trail, settings.backend)
     readiness = readiness_handler(parts.configuration, parts.stop)
     listeners = entry_branch(parts, ingress, control, readiness)
--- /dev/null
+++ b/testing/cli/test_explain.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from _masticspoke.cli.main import main
+
+ENTRY = {
+    "t": 2.0,
+    "node": "a",
+    "event": 4002,
+    "text": "request refused or failed",
+    "id": "r1",
+    "outcome": "refused",
+    "reason": "busy",
+    "sends": ["10.0.0.1:80:busy"],
+}
+GUARD = {
+    "t": 1.9,
+    "node": "b",
+    "event": 4003,
+    "text": "guard did not run a request",
+    "id": "r1",
+    "reason": "busy",
+    "running": 10,
+    "limit": 10,
+}
+
+
+def written(path: Path, *lines: object) -> str:
+    path.write_text("".join(f"12.5 node {json.dumps(line)}\n" for line in lines))
+    return str(path)
+
+
+def test_trail_is_in_time_order_and_ends_with_the_cause(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    entry = written(tmp_path / "a", {**ENTRY, "id": "other"}, ENTRY)
+    guard = written(tmp_path / "b", GUARD)
+
+    assert main(["explain", "r1", entry, guard]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == 3
+    assert " b E4003 " in lines[0]
+    assert " a E4002 " in lines[1]
+    assert lines[2].startswith("cause: refused under load")
+
+
+def test_half_a_line_at_a_crash_is_passed_over(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "a"
+    path.write_text(json.dumps(ENTRY) + "\n" + json.dumps(GUARD)[:40])
+
+    assert main(["explain", "r1", str(path)]) == 0
+    assert "cause: refused under load" in capsys.readouterr().out
+
+
+def test_unknown_id_and_missing_file_name_the_remedy(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    entry = written(tmp_path / "a", ENTRY)
+
+    assert main(["explain", "r2", entry]) == 8
+    assert "add the logs" in capsys.readouterr().err
+    assert main(["explain", "r1", str(tmp_path / "none")]) == 8
+    assert "name a readable file" in capsys.readouterr().err
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -292,3 +292,30 @@
         assert "masticspoke_configuration_version 10" in lines
 
     play(tmp_path, scenario)
+
+
+def test_clients_of_the_same_vm_are_told_from_calls_of_a_running_request(
+    tmp_path: Path,
+) -> None:
+    """Both come from the VM's own address; taking all for calls switched off limits."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ)
+        node = await fleet.add("desk", run_s=0.5)
+        await fleet.know_each_other()
+        outer = asyncio.create_task(fleet.ask(node, "/read/1"))
+        await until(lambda: len(arrivals(node)) == 1)
+        parent = arrivals(node)[0]
+        nested = {"X-Attempt-Id": f"{parent}.1"}
+        calls = [fleet.ask(node, "/read/2", **nested), fleet.ask(node, "/read/3")]
+        await asyncio.gather(outer, *calls)
+        url = f"http://{node.parts.settings.metrics}/metrics"
+        async with fleet.session.get(url) as answer:
+            lines = (await answer.text()).splitlines()
+
+        name = "masticspoke_fleet_requests_total"
+        ended = 'route="read",outcome="200",reason=""'
+        assert f'{name}{{origin="nested",{ended}}} 1' in lines
+        assert f'{name}{{origin="client",{ended}}} 2' in lines
+
+    play(tmp_path, scenario)
