Handle messages of busy tasks when they are told; collect garbage less often

Each request turned the event loop about ten times per hop, a poll each, only to hand messages to idle tasks. Change: serve_at_once runs an idle task's handler when a message is told; the trail collects lines and writes every 0.25 s; libraries are frozen out of collection.

--- a/src/_masticspoke/fleet/fates.py
+++ b/src/_masticspoke/fleet/fates.py
@@ -23,7 +23,7 @@
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.server import Handlers
-from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
 
 
@@ -90,7 +90,7 @@
     """Return the body of the fates' task."""
 
     async def run(life: Lifecycle) -> None:
-        await serve(inbox, _Served(inbox, kept), _HANDLERS, clock, life)
+        await serve_at_once(inbox, _Served(inbox, kept), _HANDLERS, clock, life)
 
     return run
 
--- a/src/_masticspoke/fleet/gate.py
+++ b/src/_masticspoke/fleet/gate.py
@@ -36,7 +36,7 @@
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.server import Handlers
-from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
 
 GateMessage = (
@@ -79,7 +79,16 @@
         known = published.value.server
         if known is not None:
             _own_backend(state, OwnBackend(known), clock())
-        await serve(inbox, state, _HANDLERS, clock, life, on_tick=_tick, wait_s=_wait_s)
+        await serve_at_once(
+            inbox,
+            state,
+            _HANDLERS,
+            clock,
+            life,
+            after_each=_publish,
+            wait_s=_wait_s,
+            on_timer=_advance,
+        )
 
     return run
 
@@ -174,8 +183,11 @@
             reply.answer(verdict)
 
 
-def _tick(state: _GateState, now: float) -> None:
+def _advance(state: _GateState, now: float) -> None:
     _give(state, queueing.advance(state.queue, now))
+
+
+def _publish(state: _GateState, now: float) -> None:
     queue = state.queue
     load = GuardLoad(
         running=len(queue.running),
--- a/src/_masticspoke/fleet/placer.py
+++ b/src/_masticspoke/fleet/placer.py
@@ -36,7 +36,7 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.server import Handlers
-from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
 
 PlacerMessage = Place | SendEnded | ServersChanged
@@ -79,7 +79,7 @@
         state = _PlacerState(
             Placing(zone), Turns(random.random()), Budget(bounds), random, gate, trail
         )
-        await serve(inbox, state, _HANDLERS, clock, life)
+        await serve_at_once(inbox, state, _HANDLERS, clock, life)
 
     return run
 
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -33,7 +33,7 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.server import Handlers
-from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
 
 RegistryMessage = (
@@ -103,7 +103,7 @@
     async def run(life: Lifecycle) -> None:
         state = _RegistryState(known, outlets, own)
         _publish(state, ())
-        await serve(inbox, state, _HANDLERS, clock, life)
+        await serve_at_once(inbox, state, _HANDLERS, clock, life)
 
     return run
 
--- a/src/_masticspoke/fleet/trail.py
+++ b/src/_masticspoke/fleet/trail.py
@@ -26,6 +26,8 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.server import Handlers
+from _masticspoke.supervise.server import serve_at_once
 
 # Lines are collected for this long before they are written, seconds.
 _COLLECT_S = 0.25
@@ -63,26 +65,26 @@
 
     async def run(life: Lifecycle) -> None:
         state = _TrailState(node, wall)
-        life.mark_started()
+
+        def flush(state: _TrailState, now: float) -> None:
+            _flush(state, write)
+
         try:
-            while True:
-                batch = await inbox.receive(_COLLECT_S if state.waiting else None)
-                for message in batch:
-                    _handle(state, message, clock())
-                _flush(state, write)
+            await serve_at_once(
+                inbox, state, _HANDLERS, clock, life, wait_s=_wait_s, on_timer=flush
+            )
         finally:
-            for message in inbox.take():
-                _handle(state, message, clock())
             _flush(state, write)
 
     return run
 
 
-def _handle(state: _TrailState, message: TrailMessage, now: float) -> None:
-    if isinstance(message, AskCounts):
-        message.reply.answer(state.counts)
-    else:
-        _collect(state, message, now)
+def _wait_s(state: _TrailState, now: float) -> float | None:
+    return _COLLECT_S if state.waiting else None
+
+
+def _ask_counts(state: _TrailState, message: AskCounts, now: float) -> None:
+    message.reply.answer(state.counts)
 
 
 def _collect(state: _TrailState, note: Note, now: float) -> None:
@@ -118,6 +120,9 @@
         del state.waiting[:cut]
 
 
+_HANDLERS: Handlers[_TrailState] = {Note: _collect, AskCounts: _ask_counts}
+
+
 def nonblocking_writer(descriptor: int) -> Write:
     """Return a function that writes to ``descriptor`` what fits at once."""
     os.set_blocking(descriptor, False)
--- a/src/_masticspoke/platform/node.py
+++ b/src/_masticspoke/platform/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 import time
 from pathlib import Path
@@ -42,6 +43,8 @@
 # Settings may change without a signal; the file is looked at this often, seconds.
 _SETTINGS_CHECK_S = 1.0
 _BRANCH_STOP_S = 1.0
+# New objects before a collection, and collections of each age before the next one.
+_COLLECT_AFTER = (20_000, 20, 50)
 
 DIALECT = Dialect(
     echo_header=REQUEST_ID,
@@ -136,5 +139,13 @@
         parts.trail.tell(Note(Event.NODE_STARTED, fields))
         await platform_tree(parts, path)(life)
 
+    _tune_collector()
     with aiomisc.entrypoint(log_config=False) as loop:
         loop.run_until_complete(main())
+
+
+def _tune_collector() -> None:
+    """Keep the collector from walking the libraries again and again."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECT_AFTER)
--- a/src/_masticspoke/supervise/mailbox.py
+++ b/src/_masticspoke/supervise/mailbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -30,6 +31,9 @@
     """Bounded queue with one receiving task.
 
     :param capacity: messages that may wait; one more is answered ``FULL``.
+
+    While its task is idle and has named a handler, a message is handled when it is
+    told: a turn of the event loop for each message costs more than most handlers.
     """
 
     def __init__(self, capacity: int) -> None:
@@ -37,6 +41,8 @@
         self._waiting: deque[M] = deque()
         self._receiver: asyncio.Future[None] | None = None
         self._refused = 0
+        self._handle: Callable[[M], None] | None = None
+        self._handling = False
 
     @property
     def depth(self) -> int:
@@ -52,8 +58,20 @@
         """Put received messages back, in front of those that wait."""
         self._waiting.extendleft(reversed(messages))
 
+    def handle_with(self, handle: Callable[[M], None] | None) -> None:
+        """Name the handler of messages that come while the task is idle, or none.
+
+        It must not raise. What waits is handled first, as is what is told from within.
+        """
+        self._handle = handle
+        if handle is not None and self._waiting and not self._handling:
+            self._handle_now(self._waiting.popleft())
+
     def tell(self, message: M) -> Delivery:
         """Leave a message without waiting."""
+        if self._handle is not None and not self._handling:
+            self._handle_now(message)
+            return Delivery.ACCEPTED
         if len(self._waiting) >= self._capacity:
             self._refused += 1
             return Delivery.FULL
@@ -63,6 +81,18 @@
             receiver.set_result(None)
         return Delivery.ACCEPTED
 
+    def _handle_now(self, message: M) -> None:
+        self._handling = True
+        try:
+            while self._handle is not None:
+                self._handle(message)
+                if not self._waiting:
+                    return
+                message = self._waiting.popleft()
+            self._waiting.appendleft(message)
+        finally:
+            self._handling = False
+
     async def receive(self, timeout_s: float | None = None) -> list[M]:
         """Take all that waits; wait for a first message if there is none.
 
