Send requests through a small client on aiohttp's parser

Change: HttpPool keeps connections, writes a head and a body, and reads with the checked handler that was there. Host goes along unchanged. Sync and the log keep the session.

--- a/src/_masticspoke/border/forwarding.py
+++ b/src/_masticspoke/border/forwarding.py
@@ -17,12 +17,11 @@
         "transfer-encoding",
         "upgrade",
         "content-length",
-        "host",
         "expect",
     }
 )
 _OWN_PREFIX = "masticspoke-"
-_REPLACED = frozenset({"traceparent"})
+_REPLACED = frozenset({"traceparent", "host"})
 
 
 def forwarded(
--- a/src/_masticspoke/connections.py
+++ b/src/_masticspoke/connections.py
@@ -16,9 +16,9 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 
 # Below the idle time-outs usual in servers, which are 5 s and more.
-_KEEP_IDLE_S = 4.0
+KEEP_IDLE_S = 4.0
 # A connection whose peer acknowledges nothing for this long is broken, milliseconds.
-_UNACKNOWLEDGED_MS = 1_500
+UNACKNOWLEDGED_MS = 1_500
 # Connections with unsent bytes for a peer that is cut off never close, seconds.
 _CLOSE_S = 0.1
 READ_BUFFER_BYTES = 65_536
@@ -30,7 +30,7 @@
 
 
 @final
-class _Handler(ResponseHandler):
+class CheckedHandler(ResponseHandler):
     """A connection that closes when its server says more than it was asked for."""
 
     def __init__(self, loop: Any) -> None:
@@ -85,46 +85,21 @@
 
 @final
 class _Connector(aiohttp.TCPConnector):
-    """Connections made by :class:`_Handler`."""
+    """Connections made by :class:`CheckedHandler`."""
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._factory = functools.partial(_Handler, loop=self._loop)  # type: ignore[assignment]
-
-
-def _request_class(echo_header: str) -> type[aiohttp.ClientRequest]:
-    """Return requests whose answer repeats ``echo_header``."""
-
-    @final
-    class _EchoedRequest(aiohttp.ClientRequest):
-        """A request whose answer repeats a header."""
-
-        header = echo_header
-
-        async def send(self, conn: Any) -> aiohttp.ClientResponse:
-            conn.protocol.expect_echo(self.header, self.headers.get(self.header))
-            return await super().send(conn)
-
-    return _EchoedRequest
+        self._factory = functools.partial(CheckedHandler, loop=self._loop)  # type: ignore[assignment]
 
 
 def _new_socket(found: Any) -> socket.socket:
     family, kind, protocol, _, _ = found
     made = socket.socket(family, kind, protocol)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
     return made
 
 
-def was_reset(answer: aiohttp.ClientResponse) -> bool:
-    """Return whether the connection of an answer read to its end was reset.
-
-    Tells whether an answer that ends with its connection is whole.
-    """
-    protocol = getattr(answer, "_protocol", None)
-    return isinstance(protocol, _Handler) and protocol.was_reset
-
-
 @final
 class Connections:
     """Client connections of one branch; open while their task runs."""
@@ -142,16 +117,10 @@
             raise RuntimeError("connections are closed; their task is not running")
         return self._session
 
-    async def open(
-        self, connect_timeout_s: float, keep: bool = True, echo_header: str = ""
-    ) -> None:
-        """Open the session.
-
-        :param keep: whether connections serve more than one request.
-        :param echo_header: request header that the right answer repeats, if any.
-        """
+    async def open(self, connect_timeout_s: float) -> None:
+        """Open the session."""
         self._session = aiohttp.ClientSession(
-            connector=_connector(keep),
+            connector=_connector(),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=_SKIPPED,
@@ -160,9 +129,6 @@
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             middlewares=(_send_once,),
-            request_class=(
-                _request_class(echo_header) if echo_header else aiohttp.ClientRequest
-            ),
         )
 
     async def close(self) -> None:
@@ -174,9 +140,13 @@
                     await session.close()
 
 
-def _connector(keep: bool) -> _Connector:
-    kept = {"keepalive_timeout": _KEEP_IDLE_S} if keep else {"force_close": True}
-    return _Connector(limit=0, use_dns_cache=False, socket_factory=_new_socket, **kept)
+def _connector() -> _Connector:
+    return _Connector(
+        limit=0,
+        use_dns_cache=False,
+        socket_factory=_new_socket,
+        keepalive_timeout=KEEP_IDLE_S,
+    )
 
 
 async def _send_once(
@@ -194,16 +164,11 @@
         raise aiohttp.ClientConnectionError(repr(error)) from error
 
 
-def connection_owner(
-    held: Connections,
-    connect_timeout_s: float,
-    keep: bool = True,
-    echo_header: str = "",
-) -> ChildBody:
+def connection_owner(held: Connections, connect_timeout_s: float) -> ChildBody:
     """Return a body that keeps ``held`` open while it runs."""
 
     async def run(life: Lifecycle) -> None:
-        await held.open(connect_timeout_s, keep, echo_header)
+        await held.open(connect_timeout_s)
         try:
             life.mark_started()
             await life.stopping()
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -36,6 +36,7 @@
 from _masticspoke.fleet.messages import ConfigurationLearnt
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.note import Note
+from _masticspoke.fleet.parts import CONNECT_TIMEOUT_S
 from _masticspoke.fleet.parts import FleetParts
 from _masticspoke.fleet.placer import placer
 from _masticspoke.fleet.probe import probe
@@ -48,6 +49,7 @@
 from _masticspoke.fleet.sync import SyncPort
 from _masticspoke.fleet.trail import nonblocking_writer
 from _masticspoke.fleet.trail import trail
+from _masticspoke.http_pool import pool_owner
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -55,8 +57,6 @@
 from _masticspoke.supervise.supervisor import ChildSpec
 from _masticspoke.supervise.supervisor import supervisor
 
-# A connection on the platform's network is made in a few milliseconds, seconds.
-_CONNECT_TIMEOUT_S = 0.4
 # States of backend servers often change together, seconds.
 _GATHER_STATES_S = 0.4
 _CLOSE_S = 1.0
@@ -102,9 +102,7 @@
     )
     writer = states_writer(parts.unsaved, parts.registry, parts.to_log, settings.log)
     children = (
-        ChildSpec(
-            "log_connections", connection_owner(parts.to_log, _CONNECT_TIMEOUT_S)
-        ),
+        ChildSpec("log_connections", connection_owner(parts.to_log, CONNECT_TIMEOUT_S)),
         ChildSpec("registry", keeper),
         ChildSpec("configuration_follower", configuration),
         ChildSpec("states_follower", states),
@@ -146,7 +144,7 @@
     return SyncPort(
         parts.registry,
         parts.dialect,
-        parts.to_nodes,
+        parts.to_peers,
         settings.nodes.host,
         settings.seeds,
         settings.nodes.port,
@@ -164,9 +162,10 @@
         time.monotonic,
         Random(),
     )
-    nodes = connection_owner(parts.to_nodes, _CONNECT_TIMEOUT_S)
+    peers = connection_owner(parts.to_peers, CONNECT_TIMEOUT_S)
     children = (
-        ChildSpec("connections", nodes, _CLOSE_S),
+        ChildSpec("peer_connections", peers, _CLOSE_S),
+        ChildSpec("connections", pool_owner(parts.nodes), _CLOSE_S),
         ChildSpec("placer", place),
     )
     return supervisor("dispatch", children, time.monotonic)
@@ -174,16 +173,12 @@
 
 def guard_branch(parts: FleetParts) -> ChildBody:
     """Return the supervisor of the gate and the connections to the backend server."""
-    echo = parts.dialect.echo_header
-    kept = connection_owner(parts.to_backend, _CONNECT_TIMEOUT_S, True, echo)
-    once = connection_owner(parts.to_backend_once, _CONNECT_TIMEOUT_S, False, echo)
     asked = ProbePort(
-        parts.registry, parts.configuration, parts.to_backend_once, parts.dialect
+        parts.registry, parts.configuration, parts.backend_once, parts.dialect
     )
     door = gate(parts.gate, parts.guarded, parts.trail, time.monotonic)
     children = (
-        ChildSpec("connections", kept, _CLOSE_S),
-        ChildSpec("connections_once", once, _CLOSE_S),
+        ChildSpec("connections", pool_owner(parts.backend), _CLOSE_S),
         ChildSpec("gate", door),
         ChildSpec("probe", probe(asked)),
         ChildSpec("fates", fates(parts.fates, parts.fates_state, time.monotonic)),
@@ -196,8 +191,8 @@
     return GuardPort(
         parts.gate,
         parts.guarded,
-        parts.to_backend,
-        parts.to_backend_once,
+        parts.backend,
+        parts.backend_once,
         parts.dialect,
         parts.trail,
         time.monotonic,
@@ -211,7 +206,7 @@
     settings = parts.settings
     send = SendPort(
         parts.placer,
-        parts.to_nodes,
+        parts.nodes,
         guard_port(parts),
         settings.backend,
         settings.nodes.port,
--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -12,12 +12,8 @@
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
-from yarl import URL
 
 from _masticspoke.border.forwarding import forwarded
-from _masticspoke.connections import Connections
-from _masticspoke.connections import NOT_CONNECTED
-from _masticspoke.connections import was_reset
 from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.lineage import run_began
 from _masticspoke.decisions.fleet.lineage import run_ended
@@ -38,6 +34,9 @@
 from _masticspoke.fleet.messages import Guarded
 from _masticspoke.fleet.messages import RunEnded
 from _masticspoke.fleet.note import Note
+from _masticspoke.http_pool import HttpPool
+from _masticspoke.http_pool import NotConnectedError
+from _masticspoke.http_pool import Upstream
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
@@ -110,9 +109,7 @@
 
 
 RunResult = Answer | Passed | Declined | Broke
-Stream = Callable[
-    [aiohttp.ClientResponse, CIMultiDict[str]], Awaitable[web.StreamResponse]
-]
+Stream = Callable[[Upstream, CIMultiDict[str]], Awaitable[web.StreamResponse]]
 
 
 @final
@@ -127,8 +124,8 @@
 
     gate: Mailbox[GateMessage]
     guarded: Latest[Guarded]
-    kept: Connections
-    fresh: Connections
+    kept: HttpPool
+    fresh: HttpPool
     dialect: Dialect
     trail: Mailbox[TrailMessage]
     clock: Clock
@@ -198,35 +195,29 @@
 ) -> RunResult:
     connections = port.kept if job.repeatable else port.fresh
     try:
-        async with connections.session.request(
-            sent.method,
-            URL(f"http://{server.backend}{sent.target}", encoded=True),
-            headers=headers,
-            data=sent.body or None,
-            allow_redirects=False,
+        async with connections.request(
+            server.backend, sent.method, sent.target, headers, sent.body
         ) as upstream:
             not_run = port.dialect.read_not_run(upstream.status, upstream.headers)
             if not_run is not None:
-                await upstream.read()
+                await upstream.content.read()
                 return Declined(not_run, _RETRY_S, arrived=True)
             return await _answer(upstream, stream)
-    except NOT_CONNECTED:
+    except NotConnectedError:
         port.gate.tell(BackendUnreachable(server.instance))
         return Declined(NotRun.ABSENT, _RETRY_S)
     except (aiohttp.ClientError, ConnectionError) as error:
         return Broke(repr(error))
 
 
-async def _answer(upstream: aiohttp.ClientResponse, stream: Stream) -> RunResult:
+async def _answer(upstream: Upstream, stream: Stream) -> RunResult:
     headers = forwarded(upstream.headers, NO_HEADERS)
     length = upstream.content_length
     if length is not None and length > WHOLE_ANSWER_BYTES:
         return Passed(await stream(upstream, headers))
-    body = await upstream.read()
-    ends_with_connection = length is None and not upstream.headers.get(
-        "Transfer-Encoding"
-    )
-    if ends_with_connection and was_reset(upstream):
+    unframed = upstream.ends_with_connection
+    body = await upstream.content.read()
+    if unframed and upstream.connection.was_reset:
         return Broke("connection reset before the end of the answer")
     return Answer(upstream.status, headers, body)
 
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import final
 
-import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -36,6 +35,7 @@
 from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.fleet.guarding import Sent
 from _masticspoke.fleet.sending import Outlet
+from _masticspoke.http_pool import Upstream
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
@@ -85,7 +85,7 @@
     outlet = Outlet(request)
 
     async def stream(
-        upstream: aiohttp.ClientResponse, headers: CIMultiDict[str]
+        upstream: Upstream, headers: CIMultiDict[str]
     ) -> web.StreamResponse:
         headers[GUARD_HEADER] = encode_guard(_said(guard))
         return await outlet.pass_on(upstream, headers)
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -20,12 +20,15 @@
 from _masticspoke.fleet.registry import Knowledge
 from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.fleet.settings import FleetSettings
+from _masticspoke.http_pool import HttpPool
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.planned_stop import PlannedStop
 
 # Messages that may wait for a task; more means that the node is far behind.
 _CAPACITY = 8_192
+# A connection on the platform's network is made in a few milliseconds, seconds.
+CONNECT_TIMEOUT_S = 0.4
 
 
 @final
@@ -50,9 +53,10 @@
     unsaved: Mailbox[BackendServer]
     trail: Mailbox[TrailMessage]
     to_log: Connections
-    to_nodes: Connections
-    to_backend: Connections
-    to_backend_once: Connections
+    to_peers: Connections
+    nodes: HttpPool
+    backend: HttpPool
+    backend_once: HttpPool
 
 
 def new_fleet_parts(settings: FleetSettings, dialect: Dialect) -> FleetParts:
@@ -75,7 +79,8 @@
         unsaved=Mailbox(_CAPACITY),
         trail=Mailbox(_CAPACITY),
         to_log=Connections(),
-        to_nodes=Connections(),
-        to_backend=Connections(),
-        to_backend_once=Connections(),
+        to_peers=Connections(),
+        nodes=HttpPool(CONNECT_TIMEOUT_S),
+        backend=HttpPool(CONNECT_TIMEOUT_S, True, dialect.echo_header),
+        backend_once=HttpPool(CONNECT_TIMEOUT_S, False, dialect.echo_header),
     )
--- a/src/_masticspoke/fleet/probe.py
+++ b/src/_masticspoke/fleet/probe.py
@@ -12,7 +12,6 @@
 
 import aiohttp
 
-from _masticspoke.connections import Connections
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Phase
@@ -20,6 +19,7 @@
 from _masticspoke.fleet.messages import AskOwn
 from _masticspoke.fleet.messages import OwnConfirmed
 from _masticspoke.fleet.registry import RegistryMessage
+from _masticspoke.http_pool import HttpPool
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -41,7 +41,7 @@
 
     registry: Mailbox[RegistryMessage]
     configuration: Latest[Configuration | None]
-    connections: Connections
+    connections: HttpPool
     dialect: Dialect
 
 
@@ -75,11 +75,10 @@
     path = configuration.health_paths.get(own.service)
     if path is None:
         return False
-    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-    url = f"http://{own.backend}{path}"
+    host = {"Host": str(own.backend)}
+    asking = port.connections.request(own.backend, "GET", path, host, b"")
     try:
-        async with port.connections.session.get(url, timeout=timeout) as answer:
-            await answer.read()
+        async with asyncio.timeout(_TIMEOUT_S), asking as answer:
             return port.dialect.read_health(answer.status, answer.headers) == (
                 own.instance
             )
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -10,7 +10,6 @@
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
-from yarl import URL
 
 from _masticspoke.border.forwarding import forwarded
 from _masticspoke.border.hop import decode_guard
@@ -20,8 +19,6 @@
 from _masticspoke.border.hop import GUARD_HEADER
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
-from _masticspoke.connections import Connections
-from _masticspoke.connections import NOT_CONNECTED
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import Job
@@ -38,6 +35,9 @@
 from _masticspoke.fleet.guarding import WHOLE_ANSWER_BYTES
 from _masticspoke.fleet.messages import SendEnded
 from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.http_pool import HttpPool
+from _masticspoke.http_pool import NotConnectedError
+from _masticspoke.http_pool import Upstream
 from _masticspoke.model import Address
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.supervisor import Clock
@@ -62,7 +62,7 @@
     """
 
     placer: Mailbox[PlacerMessage]
-    connections: Connections
+    nodes: HttpPool
     guard: GuardPort
     own: Address
     guard_port: int
@@ -81,7 +81,7 @@
     response: web.StreamResponse | None = None
 
     async def pass_on(
-        self, upstream: aiohttp.ClientResponse, headers: CIMultiDict[str]
+        self, upstream: Upstream, headers: CIMultiDict[str]
     ) -> web.StreamResponse:
         """Pass an answer on; break the connection if it does not come whole."""
         response = web.StreamResponse(status=upstream.status, headers=headers)
@@ -150,7 +150,7 @@
     sent_at = port.boot_clock()
     try:
         await _exchange(port, job, server, sent, outlet, outcome)
-    except NOT_CONNECTED:
+    except NotConnectedError:
         outcome.result = Declined(NotRun.UNREACHABLE, _RETRY_S)
     except (aiohttp.ClientError, ConnectionError) as error:
         outcome.result = Broke(f"node: {error!r}")
@@ -167,11 +167,13 @@
     outcome: _Outcome,
 ) -> None:
     """Ask the guard what became of a request whose answer was lost."""
-    url = f"http://{_node(port, server)}{FATE_PATH}"
+    node = _node(port, server)
     for _ in range(_FATE_TRIES):
         question = encode_fate(job.request_id, port.boot_clock() - sent_at)
         try:
-            async with port.connections.session.post(url, data=question) as upstream:
+            async with port.nodes.request(
+                node, "POST", FATE_PATH, {"Host": str(node)}, question
+            ) as upstream:
                 guard = decode_guard(upstream.headers.get(GUARD_HEADER))
                 if guard is not None:
                     outcome.load = guard.load
@@ -191,12 +193,8 @@
 ) -> None:
     headers = CIMultiDict(sent.headers)
     headers[JOB_HEADER] = encode_job(job, port.guard.clock())
-    async with port.connections.session.request(
-        sent.method,
-        URL(f"http://{_node(port, server)}{sent.target}", encoded=True),
-        headers=headers,
-        data=sent.body or None,
-        allow_redirects=False,
+    async with port.nodes.request(
+        _node(port, server), sent.method, sent.target, headers, sent.body
     ) as upstream:
         guard = decode_guard(upstream.headers.get(GUARD_HEADER))
         if guard is None:
@@ -210,19 +208,17 @@
     return Address(server.backend.host, port.guard_port)
 
 
-async def _result(
-    guard: GuardAnswer, upstream: aiohttp.ClientResponse, outlet: Outlet
-) -> RunResult:
+async def _result(guard: GuardAnswer, upstream: Upstream, outlet: Outlet) -> RunResult:
     if guard.not_run is not None:
-        await upstream.read()
+        await upstream.content.read()
         return Declined(guard.not_run, guard.retry_s, guard.arrived)
     if guard.broke:
-        detail = (await upstream.read()).decode(errors="replace")
+        detail = (await upstream.content.read()).decode(errors="replace")
         return Broke(detail, expired=detail == "deadline")
     headers = forwarded(upstream.headers, NO_HEADERS)
     if (upstream.content_length or 0) > WHOLE_ANSWER_BYTES:
         return Passed(await outlet.pass_on(upstream, headers))
-    return Answer(upstream.status, headers, await upstream.read())
+    return Answer(upstream.status, headers, await upstream.content.read())
 
 
 def _ended(job: Job, server: BackendServer, outcome: _Outcome) -> SendEnded:
--- /dev/null
+++ b/src/_masticspoke/http_pool.py
@@ -0,0 +1,224 @@
+"""A small HTTP/1.1 client for the path of each request, on aiohttp's parser.
+
+The client session of aiohttp costs more processor time than all the rest of a hop. This
+one does what a hop needs: kept connections, one request at a time on each, the answer's
+head, its body, and what went wrong. It never sends a request twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+from typing import final
+
+import aiohttp
+from multidict import CIMultiDictProxy
+
+from _masticspoke.connections import CheckedHandler
+from _masticspoke.connections import KEEP_IDLE_S
+from _masticspoke.connections import MAX_LINE_BYTES
+from _masticspoke.connections import READ_BUFFER_BYTES
+from _masticspoke.connections import UNACKNOWLEDGED_MS
+from _masticspoke.model import Address
+from _masticspoke.supervise.lifecycle import ChildBody
+from _masticspoke.supervise.lifecycle import Lifecycle
+
+_SWEEP_S = 1.0
+# Methods that say how long their body is even when they have none.
+_WITH_LENGTH = frozenset({"POST", "PUT", "PATCH"})
+
+
+@final
+class NotConnectedError(ConnectionError):
+    """No connection could be made; nothing was sent."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """The answer of a server.
+
+    :param content: its body, read as it arrives.
+    """
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    content: aiohttp.StreamReader
+    connection: CheckedHandler
+
+    @property
+    def content_length(self) -> int | None:
+        """Length of the body, if the server told it."""
+        length = self.headers.get("Content-Length")
+        return int(length) if length is not None and length.isdigit() else None
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells the end of the body."""
+        framed = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        return not framed and not self.content.is_eof()
+
+
+@final
+class HttpPool:
+    """Connections to any number of servers; open while their task runs.
+
+    :param connect_timeout_s: time for making a connection.
+    :param keep: whether connections serve more than one request.
+    :param echo_header: request header that the right answer repeats, if any.
+    """
+
+    def __init__(
+        self, connect_timeout_s: float, keep: bool = True, echo_header: str = ""
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._keep = keep
+        self._echo_header = echo_header
+        self._idle: dict[Address, list[tuple[CheckedHandler, float]]] = {}
+        self._busy: set[CheckedHandler] = set()
+
+    @property
+    def busy(self) -> frozenset[CheckedHandler]:
+        """Connections with a request under way."""
+        return frozenset(self._busy)
+
+    @asynccontextmanager
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> AsyncIterator[Upstream]:
+        """Send a request and wait for the head of its answer.
+
+        The connection is kept when the answer was read to its end, else broken.
+
+        :raises NotConnectedError: when nothing was sent.
+        :raises aiohttp.ClientError: when the connection broke later.
+        """
+        connection = self._take(address)
+        if connection is None:  # a connection without an answer counts as false
+            connection = await self._connect(address)
+        self._busy.add(connection)
+        whole = False
+        try:
+            upstream = await self._exchange(connection, method, target, headers, body)
+            yield upstream
+            whole = upstream.content.is_eof() and not connection.should_close
+        finally:
+            self._busy.discard(connection)
+            self._give_back(address, connection, whole)
+
+    async def _exchange(
+        self,
+        connection: CheckedHandler,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+    ) -> Upstream:
+        if self._echo_header:
+            echo = headers.get(self._echo_header)
+            connection.expect_echo(self._echo_header, echo)
+        connection.set_response_params(
+            skip_payload=method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        transport = connection.transport
+        if transport is None:
+            raise aiohttp.ClientConnectionError("the connection closed while it waited")
+        transport.write(_head(method, target, headers, body) + body)
+        while True:
+            message, content = await connection.read()
+            if message.code >= 200:
+                break
+        if message.should_close:
+            connection.force_close()
+        return Upstream(message.code, message.headers, content, connection)
+
+    def _take(self, address: Address) -> CheckedHandler | None:
+        idle = self._idle.get(address)
+        oldest = asyncio.get_running_loop().time() - KEEP_IDLE_S
+        while idle:
+            connection, since = idle.pop()
+            if connection.is_connected() and since > oldest:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, address: Address) -> CheckedHandler:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                transport, connection = await loop.create_connection(
+                    lambda: CheckedHandler(loop), address.host, address.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotConnectedError(f"{address}: {error!r}") from None
+        made: Any = transport.get_extra_info("socket")
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+        return connection
+
+    def _give_back(
+        self, address: Address, connection: CheckedHandler, whole: bool
+    ) -> None:
+        if not (whole and self._keep and connection.is_connected()):
+            connection.abort()
+            return
+        now = asyncio.get_running_loop().time()
+        self._idle.setdefault(address, []).append((connection, now))
+
+    def close_idle(self, keep_s: float) -> None:
+        """Close connections that were not used for ``keep_s``."""
+        oldest = asyncio.get_running_loop().time() - keep_s
+        for address, idle in list(self._idle.items()):
+            for connection, since in idle:
+                if since <= oldest:
+                    connection.close()
+            left = [pair for pair in idle if pair[1] > oldest]
+            if left:
+                self._idle[address] = left
+            else:
+                del self._idle[address]
+
+
+def _head(method: str, target: str, headers: Mapping[str, str], body: bytes) -> bytes:
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body or method in _WITH_LENGTH:
+        lines.append(f"Content-Length: {len(body)}")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+
+
+def pool_owner(pool: HttpPool) -> ChildBody:
+    """Return the body of the task that closes connections nobody uses."""
+
+    async def run(life: Lifecycle) -> None:
+        life.mark_started()
+        loop = asyncio.get_running_loop()
+
+        def sweep() -> None:
+            nonlocal timer
+            pool.close_idle(KEEP_IDLE_S)
+            timer = loop.call_later(_SWEEP_S, sweep)
+
+        timer = loop.call_later(_SWEEP_S, sweep)
+        try:
+            await life.stopping()
+        finally:
+            timer.cancel()
+            pool.close_idle(0.0)
+
+    return run
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -4,7 +4,6 @@
 import time
 from pathlib import Path
 
-import aiohttp
 import pytest
 from testing.fleet.platform_fleet import Node
 from testing.fleet.platform_fleet import PlatformFleet
@@ -246,11 +245,8 @@
 
 def cut_hops(node: Node) -> None:
     """Break the connections from a node to others."""
-    connector = node.parts.to_nodes.session.connector
-    assert isinstance(connector, aiohttp.TCPConnector)
-    for protocol in list(connector._acquired):
-        assert protocol.transport is not None
-        protocol.transport.abort()
+    for connection in node.parts.nodes.busy:
+        connection.abort()
 
 
 def test_planned_stop_cuts_no_request(tmp_path: Path) -> None:
