--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
@@ -207,18 +208,13 @@
 
     async def run(life: Lifecycle) -> None:
         life.mark_started()
-        loop = asyncio.get_running_loop()
-
-        def sweep() -> None:
-            nonlocal timer
-            pool.close_idle(KEEP_IDLE_S)
-            timer = loop.call_later(_SWEEP_S, sweep)
-
-        timer = loop.call_later(_SWEEP_S, sweep)
         try:
-            await life.stopping()
+            while not life.is_stopping:
+                pool.close_idle(KEEP_IDLE_S)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_SWEEP_S):
+                        await life.stopping()
         finally:
-            timer.cancel()
             pool.close_idle(0.0)
 
     return run
