--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -45,7 +45,15 @@
 THREAD_CALLS = frozenset({"run_in_executor", "threaded", "to_thread"})
 BOUNDED_QUEUES = {"Mailbox": "capacity", "Queue": "maxsize"}
 STATELESS_BASES = frozenset(
-    {"BaseModel", "Enum", "Exception", "IntEnum", "NamedTuple", "StrEnum"}
+    {
+        "BaseModel",
+        "ConnectionError",
+        "Enum",
+        "Exception",
+        "IntEnum",
+        "NamedTuple",
+        "StrEnum",
+    }
 )
 
 # Modules that may pause in a loop, and why no message could end the pause.
--- a/testing/supervise/test_server.py
+++ b/testing/supervise/test_server.py
@@ -10,6 +10,7 @@
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.server import Handlers
 from _masticspoke.supervise.server import serve
+from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import ChildSpec
 from _masticspoke.supervise.supervisor import supervisor
 
@@ -63,3 +64,93 @@
         return await ask_or(inbox, question, question.reply, None)
 
     assert asyncio.run(scenario()) is None
+
+
+@dataclass(frozen=True)
+class Note:
+    text: str
+
+
+@dataclass
+class Notes:
+    seen: list[str]
+    timers: int = 0
+
+
+def _note(state: Notes, message: Note, now: float) -> None:
+    if message.text == "crash":
+        raise ValueError("planted")
+    state.seen.append(message.text)
+
+
+def at_once(inbox: Mailbox[Note], state: Notes) -> ChildBody:
+    def rang(state: Notes, now: float) -> None:
+        state.timers += 1
+
+    async def run(life: Lifecycle) -> None:
+        await serve_at_once(
+            inbox,
+            state,
+            {Note: _note},
+            lambda: 0.0,
+            life,
+            wait_s=lambda state, now: 0.01 if state.timers == 0 else None,
+            on_timer=rang,
+        )
+
+    return run
+
+
+def played(*texts: str) -> tuple[Notes, Mailbox[Note]]:
+    state, inbox = Notes([]), Mailbox[Note](10)
+
+    async def scenario() -> None:
+        inbox.tell(Note("before"))
+        specs = [ChildSpec("notes", at_once(inbox, state))]
+        tree = supervisor("root", specs, lambda: 0.0)
+        life = Lifecycle()
+        running = asyncio.ensure_future(tree(life))
+        await life.started()
+        for text in texts:
+            inbox.tell(Note(text))
+        await asyncio.sleep(0.05)
+        life.request_stop()
+        await running
+
+    asyncio.run(scenario())
+    return state, inbox
+
+
+def test_messages_are_handled_in_order_whether_they_waited_or_not() -> None:
+    state, _ = played("one", "two")
+
+    assert state.seen == ["before", "one", "two"]
+
+
+def test_a_crash_costs_the_message_in_hand_and_the_task_starts_again() -> None:
+    state, inbox = played("one", "crash", "two")
+
+    assert state.seen == ["before", "one", "two"]
+    assert inbox.depth == 0
+
+
+def test_timer_rings_without_a_message() -> None:
+    state, _ = played("one")
+
+    assert state.timers == 1
+
+
+def test_message_told_from_within_a_handler_comes_after_it() -> None:
+    order: list[str] = []
+    inbox: Mailbox[Note] = Mailbox(10)
+
+    def handle(message: Note) -> None:
+        order.append(f"begin {message.text}")
+        if message.text == "outer":
+            inbox.tell(Note("inner"))
+        order.append(f"end {message.text}")
+
+    inbox.handle_with(handle)
+    inbox.tell(Note("outer"))
+
+    assert order == ["begin outer", "end outer", "begin inner", "end inner"]
--- /dev/null
+++ b/testing/test_http_pool.py
@@ -0,0 +1,197 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import aiohttp
+import pytest
+from aiohttp import web
+from testing.live.fleet import free_port
+from testing.test_node import serving
+
+from _masticspoke.http_pool import HttpPool
+from _masticspoke.http_pool import NotConnectedError
+from _masticspoke.model import Address
+
+Raw = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+HOST = {"Host": "a.example"}
+
+
+async def raw_server(serve: Raw) -> tuple[asyncio.Server, Address]:
+    port = free_port()
+    server = await asyncio.start_server(serve, "127.0.0.1", port)
+    return server, Address("127.0.0.1", port)
+
+
+async def fetch(
+    pool: HttpPool, address: Address, path: str = "/", **headers: str
+) -> bytes:
+    async with pool.request(address, "GET", path, {**HOST, **headers}, b"") as answer:
+        return await answer.content.read()
+
+
+def test_connection_is_used_again() -> None:
+    async def scenario() -> int:
+        seen = set()
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            assert request.transport is not None
+            seen.add(request.transport.get_extra_info("peername"))
+            return web.Response(body=await request.read() or b"empty")
+
+        pool = HttpPool(1.0)
+        async with serving(web.Server(handle)) as port:
+            address = Address("127.0.0.1", port)
+            for _ in range(5):
+                assert await fetch(pool, address) == b"empty"
+            async with pool.request(address, "POST", "/", HOST, b"body") as answer:
+                assert await answer.content.read() == b"body"
+            pool.close_idle(0.0)
+        return len(seen)
+
+    assert asyncio.run(scenario()) == 1
+
+
+def test_connection_for_one_request_is_closed() -> None:
+    async def scenario() -> int:
+        seen = set()
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            assert request.transport is not None
+            seen.add(request.transport.get_extra_info("peername"))
+            return web.Response()
+
+        pool = HttpPool(1.0, keep=False)
+        async with serving(web.Server(handle)) as port:
+            for _ in range(3):
+                await fetch(pool, Address("127.0.0.1", port))
+        return len(seen)
+
+    assert asyncio.run(scenario()) == 3
+
+
+def test_nothing_is_sent_a_second_time() -> None:
+    async def scenario() -> int:
+        arrived = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal arrived
+            while await reader.readuntil(b"\r\n\r\n"):
+                arrived += 1
+                if arrived == 2:
+                    writer.transport.abort()
+                    return
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        server, address = await raw_server(serve)
+        pool = HttpPool(1.0)
+        await fetch(pool, address)
+        with pytest.raises((aiohttp.ClientError, ConnectionError)):
+            await fetch(pool, address)
+        server.close()
+        return arrived
+
+    assert asyncio.run(scenario()) == 2
+
+
+def test_refused_connection_says_that_nothing_was_sent() -> None:
+    async def scenario() -> None:
+        with pytest.raises(NotConnectedError):
+            await fetch(HttpPool(1.0), Address("127.0.0.1", free_port()))
+
+    asyncio.run(scenario())
+
+
+def test_truncated_answer_is_an_error() -> None:
+    async def scenario() -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+            writer.close()
+
+        server, address = await raw_server(serve)
+        with pytest.raises(aiohttp.ClientError):
+            await fetch(HttpPool(1.0), address)
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_bytes_that_belong_to_no_request_end_the_connection() -> None:
+    async def scenario() -> int:
+        connections = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await asyncio.sleep(0.02)
+            writer.write(answer)
+
+        server, address = await raw_server(serve)
+        pool = HttpPool(1.0)
+        await fetch(pool, address)
+        await asyncio.sleep(0.1)
+        assert await fetch(pool, address) == b"ok"
+        server.close()
+        return connections
+
+    assert asyncio.run(scenario()) == 2
+
+
+def test_late_second_answer_to_an_earlier_request_is_passed_over() -> None:
+    async def scenario() -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            def answer(number: int) -> bytes:
+                head = f"HTTP/1.1 200 OK\r\nX-Id: {number}\r\nContent-Length: 1\r\n\r\n"
+                return f"{head}{number}".encode()
+
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(1))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(1))
+            await asyncio.sleep(0.02)
+            writer.write(answer(2))
+
+        server, address = await raw_server(serve)
+        pool = HttpPool(1.0, True, "X-Id")
+        assert await fetch(pool, address, **{"X-Id": "1"}) == b"1"
+        assert await fetch(pool, address, **{"X-Id": "2"}) == b"2"
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_request_that_is_given_up_takes_its_connection_along() -> None:
+    async def scenario() -> bool:
+        left = asyncio.Event()
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            try:
+                await asyncio.sleep(5)
+            except asyncio.CancelledError:
+                left.set()
+                raise
+            return web.Response()
+
+        server = web.Server(handle, handler_cancellation=True)
+        async with serving(server) as port:
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await fetch(HttpPool(1.0), Address("127.0.0.1", port))
+            async with asyncio.timeout(1.0):
+                await left.wait()
+        return left.is_set()
+
+    assert asyncio.run(scenario())
