--- a/testing/test_http_pool.py
+++ b/testing/test_http_pool.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
 
 import aiohttp
 import pytest
@@ -15,7 +18,19 @@
 from _masticspoke.model import Address
 
 Raw = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+T = TypeVar("T")
 HOST = {"Host": "a.example"}
+_TIMEOUT_S = 10.0
+
+
+def play(scenario: Coroutine[Any, Any, T]) -> T:
+    """Run a scenario; one that hangs fails."""
+
+    async def run() -> T:
+        async with asyncio.timeout(_TIMEOUT_S):
+            return await scenario
+
+    return asyncio.run(run())
 
 
 async def raw_server(serve: Raw) -> tuple[asyncio.Server, Address]:
@@ -50,7 +65,7 @@
             pool.close_idle(0.0)
         return len(seen)
 
-    assert asyncio.run(scenario()) == 1
+    assert play(scenario()) == 1
 
 
 def test_connection_for_one_request_is_closed() -> None:
@@ -68,7 +83,7 @@
                 await fetch(pool, Address("127.0.0.1", port))
         return len(seen)
 
-    assert asyncio.run(scenario()) == 3
+    assert play(scenario()) == 3
 
 
 def test_nothing_is_sent_a_second_time() -> None:
@@ -94,7 +109,7 @@
         server.close()
         return arrived
 
-    assert asyncio.run(scenario()) == 2
+    assert play(scenario()) == 2
 
 
 def test_refused_connection_says_that_nothing_was_sent() -> None:
@@ -102,7 +117,7 @@
         with pytest.raises(NotConnectedError):
             await fetch(HttpPool(1.0), Address("127.0.0.1", free_port()))
 
-    asyncio.run(scenario())
+    play(scenario())
 
 
 def test_truncated_answer_is_an_error() -> None:
@@ -119,7 +134,7 @@
             await fetch(HttpPool(1.0), address)
         server.close()
 
-    asyncio.run(scenario())
+    play(scenario())
 
 
 def test_bytes_that_belong_to_no_request_end_the_connection() -> None:
@@ -145,7 +160,7 @@
         server.close()
         return connections
 
-    assert asyncio.run(scenario()) == 2
+    assert play(scenario()) == 2
 
 
 def test_late_second_answer_to_an_earlier_request_is_passed_over() -> None:
@@ -170,7 +185,7 @@
         assert await fetch(pool, address, **{"X-Id": "2"}) == b"2"
         server.close()
 
-    asyncio.run(scenario())
+    play(scenario())
 
 
 def test_request_that_is_given_up_takes_its_connection_along() -> None:
@@ -194,4 +209,4 @@
                 await left.wait()
         return left.is_set()
 
-    assert asyncio.run(scenario())
+    assert play(scenario())
