--- a/src/_masticspoke/decisions/fleet/placing.py
+++ b/src/_masticspoke/decisions/fleet/placing.py
@@ -216,13 +216,8 @@
     placing.seen[address] = Seen(outstanding=outstanding)
 
 
-def unreachable(placing: Placing, now: float) -> tuple[Address, ...]:
-    """Return the addresses that are not used at present, to be probed."""
-    return tuple(a for a, seen in placing.seen.items() if seen.paused_until > now)
-
-
 def pressure_s(placing: Placing, addresses: Collection[Address], now: float) -> float:
-    """Return the least wait that any of the servers reported for nested work."""
+    """Return the mean wait that the servers reported for nested work."""
     recent = [
         seen.load.pressure_s
         for seen in (_seen(placing, address) for address in addresses)
