Answer requests on kept connections until a listener's stop has ended

Until the runner is cleaned up (after the requests in flight) the connection stays open, is read, and what it brings is dropped. Ruled out before: the cut at the end, connections made after the close. Change: no pre_shutdown before the requests in flight have ended; each answer during a stop closes its connection, as before. Before: testing/entry/test_listener.py fails (no answer on the kept connection while another request runs). After: passes; testing/entry, testing/fleet, test_planned_stop: 29 passed.

--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -110,7 +110,8 @@
             await site.stop()
             await _serve_queue(queue, server)
             await asyncio.sleep(min(last_accepted_s, stop.left_s(clock())))
-            server.pre_shutdown()
+            # Kept connections are served until the end: ``Server.pre_shutdown`` would
+            # leave them open and drop what arrives on them.
             await in_flight.wait_idle(stop.left_s(clock()))
             if in_flight.count:
                 log_event(Event.REQUESTS_CUT, address=address, requests=in_flight.count)
