Answer with a small HTTP server on the path of each request

Change: http_server.py on aiohttp's parser for all listeners of a fleet's node; one timer for each exchange of the pool in place of nested timeout contexts; replies that are answered while they are told need no future (each get_running_loop is a getpid call on this interpreter). The operator's limits for headers, bodies, slow heads and idle connections are enforced now.

--- a/src/_masticspoke/border/forwarding.py
+++ b/src/_masticspoke/border/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Mapping
 
 from multidict import CIMultiDict
@@ -21,6 +22,8 @@
     }
 )
 _OWN_PREFIX = "masticspoke-"
+# Header names repeat; unknown ones must not take memory without bound.
+_NAMES_KNOWN = 256
 _REPLACED = frozenset({"traceparent", "host"})
 
 
@@ -38,8 +41,14 @@
     dropped = HOP_BY_HOP | replaced
     if connection is not None:
         dropped |= {name.strip().lower() for name in connection.split(",")}
-    return CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if (lower := name.lower()) not in dropped and not lower.startswith(_OWN_PREFIX)
-    )
+    found: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        lower = _lower(name)
+        if lower not in dropped and not lower.startswith(_OWN_PREFIX):
+            found.add(name, value)
+    return found
+
+
+@functools.lru_cache(maxsize=_NAMES_KNOWN)
+def _lower(name: str) -> str:
+    return name.lower()
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -78,6 +78,11 @@
     limits: Limits = field(default_factory=Limits)
 
 
+def limits_of(configuration: Configuration | None) -> Limits:
+    """Return the limits in force, also before any configuration is known."""
+    return Limits() if configuration is None else configuration.limits
+
+
 @final
 class Phase(IntEnum):
     """How far a backend server has come; it never goes back."""
--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -99,7 +99,7 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=CUT_TIMEOUT_S)
         await runner.setup()
-        listening = _listen(address)
+        listening = open_socket(address)
         queue = listening.dup()
         try:
             site = web.SockSite(runner, listening, backlog=BACKLOG)
@@ -108,7 +108,7 @@
             await life.stopping()
             stop.begin(clock())
             await site.stop()
-            await _serve_queue(queue, server)
+            await serve_queue(queue, server)
             await asyncio.sleep(min(last_accepted_s, stop.left_s(clock())))
             # Kept connections are served until the end: ``Server.pre_shutdown`` would
             # leave them open and drop what arrives on them.
@@ -122,7 +122,8 @@
     return run
 
 
-def _listen(address: Address) -> socket.socket:
+def open_socket(address: Address) -> socket.socket:
+    """Return a listening socket."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     listening = socket.socket(family, socket.SOCK_STREAM)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -132,7 +133,9 @@
     return listening
 
 
-async def _serve_queue(queue: socket.socket, server: web.Server) -> None:
+async def serve_queue(
+    queue: socket.socket, server: Callable[[], asyncio.Protocol]
+) -> None:
     """Serve the connections that clients made and no one has accepted yet.
 
     Closing the last descriptor of the listening socket resets them.
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -4,11 +4,10 @@
 
 import sys
 import time
+from collections.abc import Callable
 from collections.abc import Mapping
 from random import Random
 
-from aiohttp import web
-
 from _masticspoke.border.backend_state import decode_state
 from _masticspoke.border.backend_state import SERVERS_STREAM
 from _masticspoke.border.exposition import encode_metrics
@@ -16,9 +15,10 @@
 from _masticspoke.border.hop import FATE_PATH
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.connections import connection_owner
+from _masticspoke.connections import MAX_LINE_BYTES
+from _masticspoke.decisions.fleet.model import Limits
+from _masticspoke.decisions.fleet.model import limits_of
 from _masticspoke.decisions.fleet.volume import Importance
-from _masticspoke.entry.listener import Handler
-from _masticspoke.entry.listener import listener
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import AskCounts
 from _masticspoke.fleet.counts import Counts
@@ -33,6 +33,8 @@
 from _masticspoke.fleet.inbound import fate_handler
 from _masticspoke.fleet.inbound import inbound_handler
 from _masticspoke.fleet.inbound import InboundPort
+from _masticspoke.fleet.inbound import MAX_BODY_BYTES
+from _masticspoke.fleet.listening import listening
 from _masticspoke.fleet.messages import ConfigurationLearnt
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.note import Note
@@ -50,6 +52,11 @@
 from _masticspoke.fleet.trail import nonblocking_writer
 from _masticspoke.fleet.trail import trail
 from _masticspoke.http_pool import pool_owner
+from _masticspoke.http_server import Handler
+from _masticspoke.http_server import HttpServer
+from _masticspoke.http_server import Request
+from _masticspoke.http_server import Response
+from _masticspoke.http_server import ServerLimits
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -64,6 +71,19 @@
 _LAST_ACCEPTED_S = 0.15
 
 
+# Limits of requests that no client sends: between nodes, from the platform.
+_OWN_LIMITS = ServerLimits(MAX_LINE_BYTES, MAX_BODY_BYTES, 10.0, 60.0)
+
+
+def _server_limits(limits: Limits) -> ServerLimits:
+    return ServerLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_timeout_s,
+        limits.idle_timeout_s,
+    )
+
+
 def _boot_clock() -> float:
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
@@ -218,16 +238,16 @@
 def metrics_handler(parts: FleetParts) -> Handler:
     """Return the handler of the metrics address."""
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(request: Request) -> Response:
         reply: Reply[Counts] = Reply()
         counts = await ask(parts.trail, AskCounts(reply), reply)
         if counts is None:
-            return web.Response(status=503, text="the trail does not answer\n")
+            return Response(503, body=b"the trail does not answer\n")
         found = samples(
             counts, parts.guarded.value, parts.configuration.value, time.monotonic()
         )
         headers = {"Content-Type": EXPOSITION_TYPE}
-        return web.Response(body=encode_metrics(found), headers=headers)
+        return Response(200, headers, encode_metrics(found))
 
     return handle
 
@@ -249,12 +269,18 @@
         },
     )
 
+    def limits() -> ServerLimits:
+        return _server_limits(limits_of(parts.configuration.value))
+
     def opened(
-        name: str, address: Address, handler: Handler, last_s: float
+        name: str,
+        address: Address,
+        handler: Handler,
+        last_s: float,
+        limits: Callable[[], ServerLimits] = lambda: _OWN_LIMITS,
     ) -> ChildSpec:
-        body = listener(
-            address, handler, lambda: None, parts.stop, time.monotonic, None, last_s
-        )
+        server = HttpServer(handler, limits, lambda: parts.stop.under_way)
+        body = listening(address, server, parts.stop, time.monotonic, last_s)
         return ChildSpec(name, body, settings.stop_timeout_s)
 
     children = (
@@ -262,6 +288,6 @@
         opened("control_plane", settings.control_plane, control_plane, 0.0),
         opened("readiness", settings.readiness, readiness, 0.0),
         opened("nodes", settings.nodes, inbound, _LAST_ACCEPTED_S),
-        opened("clients", settings.clients, ingress, _LAST_ACCEPTED_S),
+        opened("clients", settings.clients, ingress, _LAST_ACCEPTED_S, limits),
     )
     return supervisor("entry", children, time.monotonic)
--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,7 +9,6 @@
 from typing import final
 
 import aiohttp
-from aiohttp import web
 from multidict import CIMultiDict
 
 from _masticspoke.border.forwarding import forwarded
@@ -34,9 +32,12 @@
 from _masticspoke.fleet.messages import Guarded
 from _masticspoke.fleet.messages import RunEnded
 from _masticspoke.fleet.note import Note
+from _masticspoke.http_pool import Exchange
+from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
 from _masticspoke.http_pool import NotConnectedError
 from _masticspoke.http_pool import Upstream
+from _masticspoke.http_server import Streamed
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
@@ -80,7 +81,7 @@
 class Passed:
     """A long answer that was passed on while it arrived; perhaps broken off."""
 
-    response: web.StreamResponse
+    response: Streamed
 
 
 @final
@@ -109,7 +110,7 @@
 
 
 RunResult = Answer | Passed | Declined | Broke
-Stream = Callable[[Upstream, CIMultiDict[str]], Awaitable[web.StreamResponse]]
+Stream = Callable[[Upstream, CIMultiDict[str]], Awaitable[Streamed]]
 
 
 @final
@@ -176,33 +177,27 @@
     if server is None or left_s <= 0:
         reason = NotRun.ABSENT if server is None else NotRun.TOO_LATE
         return Declined(reason, _RETRY_S)
-    headers = CIMultiDict(sent.headers)
+    headers = sent.headers.copy()
     port.dialect.set_backend_headers(headers, job, server.instance, left_s)
-    try:
-        async with asyncio.timeout(left_s):
-            return await _exchange(port, job, sent, stream, server, headers)
-    except TimeoutError:
-        return Broke("deadline", expired=True)
+    connections = port.kept if job.repeatable else port.fresh
+    exchange = connections.request(
+        server.backend, sent.method, sent.target, headers, sent.body, left_s
+    )
+    return await _exchange(port, exchange, stream, server)
 
 
 async def _exchange(
-    port: GuardPort,
-    job: Job,
-    sent: Sent,
-    stream: Stream,
-    server: BackendServer,
-    headers: CIMultiDict[str],
+    port: GuardPort, exchange: Exchange, stream: Stream, server: BackendServer
 ) -> RunResult:
-    connections = port.kept if job.repeatable else port.fresh
     try:
-        async with connections.request(
-            server.backend, sent.method, sent.target, headers, sent.body
-        ) as upstream:
+        async with exchange as upstream:
             not_run = port.dialect.read_not_run(upstream.status, upstream.headers)
             if not_run is not None:
                 await upstream.content.read()
                 return Declined(not_run, _RETRY_S, arrived=True)
             return await _answer(upstream, stream)
+    except ExpiredError:
+        return Broke("deadline", expired=True)
     except NotConnectedError:
         port.gate.tell(BackendUnreachable(server.instance))
         return Declined(NotRun.ABSENT, _RETRY_S)
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import final
 
-from aiohttp import web
 from multidict import CIMultiDict
 
 from _masticspoke.border.forwarding import forwarded
@@ -21,7 +20,6 @@
 from _masticspoke.decisions.fleet.fate import can_know
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.decisions.fleet.model import NotRun
-from _masticspoke.entry.listener import Handler
 from _masticspoke.fleet.fates import AskFate
 from _masticspoke.fleet.fates import FatesMessage
 from _masticspoke.fleet.fates import RunOnce
@@ -36,12 +34,19 @@
 from _masticspoke.fleet.guarding import Sent
 from _masticspoke.fleet.sending import Outlet
 from _masticspoke.http_pool import Upstream
+from _masticspoke.http_server import Handler
+from _masticspoke.http_server import Request
+from _masticspoke.http_server import Response
+from _masticspoke.http_server import Streamed
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import Clock
 
-OwnPaths = Mapping[str, Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]]
+OwnPaths = Mapping[str, Handler]
+# Longest request body that one node takes from another; clients may send less.
+MAX_BODY_BYTES = 67_108_864
+_MAX_QUESTION_BYTES = 4_096
 _BARRED = Declined(NotRun.UNREACHABLE, 0.0)
 
 
@@ -60,33 +65,31 @@
     :param own_paths: what nodes ask each other, by path.
     """
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(request: Request) -> Response | Streamed:
         if JOB_HEADER in request.headers:
             return await _guard(port, request)
         own = own_paths.get(request.path)
         if own is None:
-            return web.Response(status=404, text="no such request between nodes\n")
+            return Response(404, body=b"no such request between nodes\n")
         return await own(request)
 
     return handle
 
 
-async def _guard(port: InboundPort, request: web.BaseRequest) -> web.StreamResponse:
+async def _guard(port: InboundPort, request: Request) -> Response | Streamed:
     guard = port.guard
     job = decode_job(request.headers.get(JOB_HEADER), guard.clock())
     if job is None:
-        return web.Response(status=400, text=f"{JOB_HEADER} is malformed\n")
+        return Response(400, body=f"{JOB_HEADER} is malformed\n".encode())
     sent = Sent(
         request.method,
-        request.raw_path,
+        request.target,
         forwarded(request.headers, NO_HEADERS),
-        await request.read(),
+        await request.body(MAX_BODY_BYTES),
     )
     outlet = Outlet(request)
 
-    async def stream(
-        upstream: Upstream, headers: CIMultiDict[str]
-    ) -> web.StreamResponse:
+    async def stream(upstream: Upstream, headers: CIMultiDict[str]) -> Streamed:
         headers[GUARD_HEADER] = encode_guard(_said(guard))
         return await outlet.pass_on(upstream, headers)
 
@@ -106,16 +109,16 @@
     return _BARRED if result is None else result
 
 
-def _response(guard: GuardPort, result: RunResult) -> web.StreamResponse:
+def _response(guard: GuardPort, result: RunResult) -> Response | Streamed:
     if isinstance(result, Passed):
         return result.response
     if isinstance(result, Answer):
-        headers = CIMultiDict(result.headers)
+        headers = result.headers.copy()
         headers[GUARD_HEADER] = encode_guard(_said(guard))
-        return web.Response(status=result.status, headers=headers, body=result.body)
+        return Response(result.status, headers, result.body)
     said = {GUARD_HEADER: encode_guard(_said(guard, result))}
     text = result.detail if isinstance(result, Broke) else ""
-    return web.Response(status=503, headers=said, text=text)
+    return Response(503, said, text.encode())
 
 
 def fate_handler(port: InboundPort, boot_clock: Clock) -> Handler:
@@ -125,10 +128,10 @@
     """
     started = boot_clock()
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        asked = decode_fate(await request.read())
+    async def handle(request: Request) -> Response | Streamed:
+        asked = decode_fate(await request.body(_MAX_QUESTION_BYTES))
         if asked is None:
-            return web.Response(status=400, text="malformed question\n")
+            return Response(400, body=b"malformed question\n")
         request_id, asked_after_s = asked
         if not can_know(boot_clock() - started, asked_after_s):
             return _response(port.guard, Broke("the node has restarted since"))
--- a/src/_masticspoke/fleet/probe.py
+++ b/src/_masticspoke/fleet/probe.py
@@ -19,6 +19,7 @@
 from _masticspoke.fleet.messages import AskOwn
 from _masticspoke.fleet.messages import OwnConfirmed
 from _masticspoke.fleet.registry import RegistryMessage
+from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.latest import Latest
@@ -76,11 +77,11 @@
     if path is None:
         return False
     host = {"Host": str(own.backend)}
-    asking = port.connections.request(own.backend, "GET", path, host, b"")
+    asking = port.connections.request(own.backend, "GET", path, host, b"", _TIMEOUT_S)
     try:
-        async with asyncio.timeout(_TIMEOUT_S), asking as answer:
+        async with asking as answer:
             return port.dialect.read_health(answer.status, answer.headers) == (
                 own.instance
             )
-    except (TimeoutError, aiohttp.ClientError, ConnectionError):
+    except (ExpiredError, aiohttp.ClientError, ConnectionError):
         return False  # its next heartbeat will tell
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
-from dataclasses import field
 from typing import final
 
 import aiohttp
-from aiohttp import web
 from multidict import CIMultiDict
 
 from _masticspoke.border.forwarding import forwarded
@@ -35,9 +32,12 @@
 from _masticspoke.fleet.guarding import WHOLE_ANSWER_BYTES
 from _masticspoke.fleet.messages import SendEnded
 from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
 from _masticspoke.http_pool import NotConnectedError
 from _masticspoke.http_pool import Upstream
+from _masticspoke.http_server import Request
+from _masticspoke.http_server import Streamed
 from _masticspoke.model import Address
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.supervisor import Clock
@@ -74,138 +74,113 @@
 class Outlet:
     """Where a long answer goes while it arrives.
 
-    :param response: set as soon as its head may have been sent.
+    :param begun: set as soon as its head may have been sent.
     """
 
-    request: web.BaseRequest
-    response: web.StreamResponse | None = None
+    request: Request
+    begun: bool = False
 
-    async def pass_on(
-        self, upstream: Upstream, headers: CIMultiDict[str]
-    ) -> web.StreamResponse:
+    async def pass_on(self, upstream: Upstream, headers: CIMultiDict[str]) -> Streamed:
         """Pass an answer on; break the connection if it does not come whole."""
-        response = web.StreamResponse(status=upstream.status, headers=headers)
-        response.content_length = upstream.content_length
-        self.response = response
-        try:
-            await response.prepare(self.request)
-            async for chunk in upstream.content.iter_any():
-                await response.write(chunk)
-            await response.write_eof()
-        except BaseException:
-            if self.request.transport is not None:
-                self.request.transport.abort()
-            raise
-        return response
+        self.begun = True
+        length = upstream.content_length or 0
+        return await self.request.stream(
+            upstream.status, headers, length, upstream.content
+        )
 
 
 @final
 @dataclass(slots=True)
-class _Outcome:
+class _Send:
+    """One send to one guard, and how it ended.
+
+    :param sent_at: time on the clock that also counts a suspension of the VM.
+    """
+
+    port: SendPort
+    job: Job
+    server: BackendServer
+    sent: Sent
+    outlet: Outlet
+    sent_at: float
     result: RunResult | None = None
-    load: GuardLoad | None = field(default=None)
+    load: GuardLoad | None = None
+
+    @property
+    def left_s(self) -> float:
+        """Time for the guard's answer."""
+        return self.job.deadline - self.port.guard.clock() + _GUARD_GRACE_S
 
 
 async def send(
     port: SendPort, job: Job, server: BackendServer, sent: Sent, outlet: Outlet
 ) -> RunResult:
     """Return how a send to ``server`` ended; the placer hears of it as well."""
-    outcome = _Outcome()
+    one = _Send(port, job, server, sent, outlet, port.boot_clock())
     try:
         if server.backend == port.own:
-            outcome.result = await run_job(port.guard, job, sent, outlet.pass_on)
-            outcome.load = port.guard.load
+            one.result = await run_job(port.guard, job, sent, outlet.pass_on)
+            one.load = port.guard.load
         else:
-            await _send_to_node(port, job, server, sent, outlet, outcome)
-        assert outcome.result is not None
-        return outcome.result
+            await _send_to_node(one)
+        assert one.result is not None
+        return one.result
     finally:
-        port.placer.tell(_ended(job, server, outcome))
-
-
-async def _send_to_node(
-    port: SendPort,
-    job: Job,
-    server: BackendServer,
-    sent: Sent,
-    outlet: Outlet,
-    outcome: _Outcome,
-) -> None:
-    left_s = job.deadline - port.guard.clock()
-    try:
-        async with asyncio.timeout(left_s + _GUARD_GRACE_S):
-            await _exchange_or_settle(port, job, server, sent, outlet, outcome)
-    except TimeoutError:
-        outcome.result = Broke("deadline", expired=True)
-
-
-async def _exchange_or_settle(
-    port: SendPort,
-    job: Job,
-    server: BackendServer,
-    sent: Sent,
-    outlet: Outlet,
-    outcome: _Outcome,
-) -> None:
-    sent_at = port.boot_clock()
+        port.placer.tell(_ended(one))
+
+
+async def _send_to_node(one: _Send) -> None:
     try:
-        await _exchange(port, job, server, sent, outlet, outcome)
+        await _exchange(one)
+    except ExpiredError:
+        one.result = Broke("deadline", expired=True)
     except NotConnectedError:
-        outcome.result = Declined(NotRun.UNREACHABLE, _RETRY_S)
+        one.result = Declined(NotRun.UNREACHABLE, _RETRY_S)
     except (aiohttp.ClientError, ConnectionError) as error:
-        outcome.result = Broke(f"node: {error!r}")
-        if not job.repeatable and outlet.response is None:
-            await _settle(port, job, server, sent_at, outlet, outcome)
-
-
-async def _settle(
-    port: SendPort,
-    job: Job,
-    server: BackendServer,
-    sent_at: float,
-    outlet: Outlet,
-    outcome: _Outcome,
-) -> None:
+        one.result = Broke(f"node: {error!r}")
+        if not one.job.repeatable and not one.outlet.begun:
+            await _settle(one)
+
+
+async def _settle(one: _Send) -> None:
     """Ask the guard what became of a request whose answer was lost."""
-    node = _node(port, server)
+    port = one.port
+    node = _node(one)
     for _ in range(_FATE_TRIES):
-        question = encode_fate(job.request_id, port.boot_clock() - sent_at)
+        question = encode_fate(one.job.request_id, port.boot_clock() - one.sent_at)
+        headers = {"Host": str(node)}
         try:
             async with port.nodes.request(
-                node, "POST", FATE_PATH, {"Host": str(node)}, question
+                node, "POST", FATE_PATH, headers, question, one.left_s
             ) as upstream:
                 guard = decode_guard(upstream.headers.get(GUARD_HEADER))
                 if guard is not None:
-                    outcome.load = guard.load
-                    outcome.result = await _result(guard, upstream, outlet)
+                    one.load = guard.load
+                    one.result = await _result(guard, upstream, one.outlet)
                 return
+        except ExpiredError:
+            one.result = Broke("deadline", expired=True)
+            return
         except (aiohttp.ClientError, ConnectionError):
             continue  # the result stays: it may have run
 
 
-async def _exchange(
-    port: SendPort,
-    job: Job,
-    server: BackendServer,
-    sent: Sent,
-    outlet: Outlet,
-    outcome: _Outcome,
-) -> None:
-    headers = CIMultiDict(sent.headers)
-    headers[JOB_HEADER] = encode_job(job, port.guard.clock())
-    async with port.nodes.request(
-        _node(port, server), sent.method, sent.target, headers, sent.body
+async def _exchange(one: _Send) -> None:
+    headers = one.sent.headers.copy()
+    headers[JOB_HEADER] = encode_job(one.job, one.port.guard.clock())
+    async with one.port.nodes.request(
+        _node(one), one.sent.method, one.sent.target, headers, one.sent.body, one.left_s
     ) as upstream:
         guard = decode_guard(upstream.headers.get(GUARD_HEADER))
         if guard is None:
-            outcome.result = Broke("the node did not answer as a guard")
+            one.result = Broke("the node did not answer as a guard")
             return
-        outcome.load = guard.load
-        outcome.result = await _result(guard, upstream, outlet)
+        one.load = guard.load
+        one.result = await _result(guard, upstream, one.outlet)
 
 
-def _node(port: SendPort, server: BackendServer) -> Address:
-    return Address(server.backend.host, port.guard_port)
+def _node(one: _Send) -> Address:
+    return Address(one.server.backend.host, one.port.guard_port)
 
 
 async def _result(guard: GuardAnswer, upstream: Upstream, outlet: Outlet) -> RunResult:
@@ -221,15 +196,15 @@
     return Answer(upstream.status, headers, await upstream.content.read())
 
 
-def _ended(job: Job, server: BackendServer, outcome: _Outcome) -> SendEnded:
-    result = outcome.result
+def _ended(one: _Send) -> SendEnded:
+    result = one.result
     return SendEnded(
-        address=server.backend,
+        address=one.server.backend,
         failed=_failed(result),
-        load=outcome.load,
+        load=one.load,
         unusable=result.reason if isinstance(result, Declined) else None,
-        service=job.service,
-        nested=job.nested,
+        service=one.job.service,
+        nested=one.job.nested,
     )
 
 
--- a/src/_masticspoke/fleet/sync.py
+++ b/src/_masticspoke/fleet/sync.py
@@ -12,7 +12,6 @@
 from typing import final
 
 import aiohttp
-from aiohttp import web
 
 from _masticspoke.border.sync import decode_sync
 from _masticspoke.border.sync import encode_sync
@@ -20,13 +19,15 @@
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.border.sync import SyncNews
 from _masticspoke.connections import Connections
-from _masticspoke.entry.listener import Handler
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.messages import AskKnown
 from _masticspoke.fleet.messages import ConfigurationLearnt
 from _masticspoke.fleet.messages import Known
 from _masticspoke.fleet.messages import ServersLearnt
 from _masticspoke.fleet.registry import RegistryMessage
+from _masticspoke.http_server import Handler
+from _masticspoke.http_server import Request
+from _masticspoke.http_server import Response
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -116,15 +117,13 @@
 def sync_handler(port: SyncPort) -> Handler:
     """Return the handler of exchanges that a peer begins."""
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        if (request.content_length or 0) > MAX_SYNC_BYTES:
-            return web.Response(status=413)
-        told = decode_sync(await request.read())
+    async def handle(request: Request) -> Response:
+        told = decode_sync(await request.body(MAX_SYNC_BYTES))
         if told is None:
-            return web.Response(status=400, text="malformed exchange\n")
+            return Response(400, body=b"malformed exchange\n")
         known = await _known(port)
         if known is None:
-            return web.Response(status=503)
+            return Response(503)
         _learn(port, told, f"peer {request.remote}")
         news = SyncNews(
             known.version,
@@ -132,6 +131,6 @@
             known.raw if known.version > told.version else b"",
             known.servers if known.digest != told.digest else (),
         )
-        return web.Response(body=encode_sync(news))
+        return Response(200, body=encode_sync(news))
 
     return handle
--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -10,9 +10,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
 from collections.abc import Mapping
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 from typing import final
@@ -39,6 +37,11 @@
     """No connection could be made; nothing was sent."""
 
 
+@final
+class ExpiredError(Exception):
+    """The time for a request is over; it may have been sent."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Upstream:
@@ -65,6 +68,79 @@
         return not framed and not self.content.is_eof()
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A request to send."""
+
+    address: Address
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@final
+class Exchange:
+    """One request and its answer on a connection of a pool."""
+
+    __slots__ = ("_asked", "_connection", "_expired", "_pool", "_timer", "_upstream")
+
+    def __init__(self, pool: HttpPool, asked: _Asked, within_s: float | None) -> None:
+        self._pool = pool
+        self._asked = asked
+        self._connection: CheckedHandler | None = None
+        self._upstream: Upstream | None = None
+        self._expired = False
+        self._timer: asyncio.TimerHandle | None = None
+        if within_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, within_s), self._expire)
+
+    async def __aenter__(self) -> Upstream:
+        """Send the request and return the head of its answer."""
+        try:
+            connection = await self._pool.lend(self._asked.address, self._left_s())
+            self._connection = connection
+            if not self._expired:
+                self._upstream = await _exchange(self._pool, connection, self._asked)
+                return self._upstream
+        except BaseException as error:
+            self._end(whole=False)
+            if self._expired and isinstance(error, Exception):
+                raise ExpiredError(str(self._asked.address)) from error
+            raise
+        self._end(whole=False)
+        raise ExpiredError(str(self._asked.address))
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Give the connection back, or break it."""
+        upstream = self._upstream
+        whole = upstream is not None and exc[0] is None and upstream.content.is_eof()
+        self._end(whole)
+        if self._expired and (exc[0] is None or isinstance(exc[1], Exception)):
+            raise ExpiredError(str(self._asked.address))
+
+    def _left_s(self) -> float | None:
+        timer = self._timer
+        if timer is None:
+            return None
+        return max(0.0, timer.when() - asyncio.get_running_loop().time())
+
+    def _expire(self) -> None:
+        self._expired = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    def _end(self, whole: bool) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            kept = whole and not self._expired and not connection.should_close
+            self._pool.give_back(self._asked.address, connection, kept)
+
+
 @final
 class HttpPool:
     """Connections to any number of servers; open while their task runs.
@@ -83,70 +159,47 @@
         self._idle: dict[Address, list[tuple[CheckedHandler, float]]] = {}
         self._busy: set[CheckedHandler] = set()
 
+    @property
+    def echo_header(self) -> str:
+        """Request header that the right answer repeats; empty if none does."""
+        return self._echo_header
+
     @property
     def busy(self) -> frozenset[CheckedHandler]:
         """Connections with a request under way."""
         return frozenset(self._busy)
 
-    @asynccontextmanager
-    async def request(
+    def request(
         self,
         address: Address,
         method: str,
         target: str,
         headers: Mapping[str, str],
         body: bytes,
-    ) -> AsyncIterator[Upstream]:
-        """Send a request and wait for the head of its answer.
+        within_s: float | None = None,
+    ) -> Exchange:
+        """Return a context that sends a request and yields the head of its answer.
 
         The connection is kept when the answer was read to its end, else broken.
 
+        :param within_s: time for all of it, until the context ends.
         :raises NotConnectedError: when nothing was sent.
+        :raises ExpiredError: when the time is over.
         :raises aiohttp.ClientError: when the connection broke later.
         """
+        asked = _Asked(address, method, target, headers, body)
+        return Exchange(self, asked, within_s)
+
+    async def lend(self, address: Address, within_s: float | None) -> CheckedHandler:
+        """Return a connection for one exchange.
+
+        :raises NotConnectedError: when none can be made.
+        """
         connection = self._take(address)
         if connection is None:  # a connection without an answer counts as false
-            connection = await self._connect(address)
+            connection = await self._connect(address, within_s)
         self._busy.add(connection)
-        whole = False
-        try:
-            upstream = await self._exchange(connection, method, target, headers, body)
-            yield upstream
-            whole = upstream.content.is_eof() and not connection.should_close
-        finally:
-            self._busy.discard(connection)
-            self._give_back(address, connection, whole)
-
-    async def _exchange(
-        self,
-        connection: CheckedHandler,
-        method: str,
-        target: str,
-        headers: Mapping[str, str],
-        body: bytes,
-    ) -> Upstream:
-        if self._echo_header:
-            echo = headers.get(self._echo_header)
-            connection.expect_echo(self._echo_header, echo)
-        connection.set_response_params(
-            skip_payload=method == "HEAD",
-            read_until_eof=True,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-        )
-        transport = connection.transport
-        if transport is None:
-            raise aiohttp.ClientConnectionError("the connection closed while it waited")
-        transport.write(_head(method, target, headers, body) + body)
-        while True:
-            message, content = await connection.read()
-            if message.code >= 200:
-                break
-        if message.should_close:
-            connection.force_close()
-        return Upstream(message.code, message.headers, content, connection)
+        return connection
 
     def _take(self, address: Address) -> CheckedHandler | None:
         idle = self._idle.get(address)
@@ -158,10 +211,15 @@
             connection.close()
         return None
 
-    async def _connect(self, address: Address) -> CheckedHandler:
+    async def _connect(
+        self, address: Address, within_s: float | None
+    ) -> CheckedHandler:
         loop = asyncio.get_running_loop()
+        timeout_s = self._connect_timeout_s
+        if within_s is not None:
+            timeout_s = min(timeout_s, within_s)
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with asyncio.timeout(timeout_s):
                 transport, connection = await loop.create_connection(
                     lambda: CheckedHandler(loop), address.host, address.port
                 )
@@ -171,9 +229,11 @@
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
         return connection
 
-    def _give_back(
+    def give_back(
         self, address: Address, connection: CheckedHandler, whole: bool
     ) -> None:
+        """Keep a connection whose answer was read to its end; break any other."""
+        self._busy.discard(connection)
         if not (whole and self._keep and connection.is_connected()):
             connection.abort()
             return
@@ -194,11 +254,37 @@
                 del self._idle[address]
 
 
-def _head(method: str, target: str, headers: Mapping[str, str], body: bytes) -> bytes:
-    lines = [f"{method} {target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    if body or method in _WITH_LENGTH:
-        lines.append(f"Content-Length: {len(body)}")
+async def _exchange(
+    pool: HttpPool, connection: CheckedHandler, asked: _Asked
+) -> Upstream:
+    if pool.echo_header:
+        connection.expect_echo(pool.echo_header, asked.headers.get(pool.echo_header))
+    connection.set_response_params(
+        skip_payload=asked.method == "HEAD",
+        read_until_eof=True,
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+    )
+    transport = connection.transport
+    if transport is None:
+        raise aiohttp.ClientConnectionError("the connection closed while it waited")
+    transport.write(_head(asked) + asked.body)
+    while True:
+        message, content = await connection.read()
+        if message.code >= 200:
+            break
+    if message.should_close:
+        connection.force_close()
+    return Upstream(message.code, message.headers, content, connection)
+
+
+def _head(asked: _Asked) -> bytes:
+    lines = [f"{asked.method} {asked.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in asked.headers.items()]
+    if asked.body or asked.method in _WITH_LENGTH:
+        lines.append(f"Content-Length: {len(asked.body)}")
     lines.append("\r\n")
     return "\r\n".join(lines).encode("utf-8", "surrogateescape")
 
--- a/src/_masticspoke/platform/control_plane.py
+++ b/src/_masticspoke/platform/control_plane.py
@@ -9,19 +9,21 @@
 from typing import TypeGuard
 from urllib.parse import unquote
 
-from aiohttp import web
+from aiohttp import hdrs
 
 from _masticspoke.border.addresses import parse_address
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.volume import Importance
-from _masticspoke.entry.listener import Handler
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.messages import Deregistered
 from _masticspoke.fleet.messages import Heartbeat
 from _masticspoke.fleet.note import Note
 from _masticspoke.fleet.registry import RegistryMessage
+from _masticspoke.http_server import Handler
+from _masticspoke.http_server import Request
+from _masticspoke.http_server import Response
 from _masticspoke.model import Address
 from _masticspoke.platform.names import DEREGISTER_PREFIX
 from _masticspoke.platform.names import HEARTBEAT_PREFIX
@@ -31,6 +33,7 @@
 from _masticspoke.supervise.mailbox import Reply
 
 _MAX_BYTES = 65_536
+_JSON = {str(hdrs.CONTENT_TYPE): "application/json"}
 # A backend server takes an acknowledgement within a second.
 _ANSWER_S = 0.9
 
@@ -43,13 +46,13 @@
     :param own: address of the own backend server.
     """
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(request: Request) -> Response:
         path = request.path
         if path.startswith(HEARTBEAT_PREFIX):
             return await _heartbeat(registry, trail, own, request)
         if path.startswith(DEREGISTER_PREFIX):
             return await _deregister(registry, request)
-        return web.Response(status=404, text="no such call\n")
+        return Response(404, body=b"no such call\n")
 
     return handle
 
@@ -58,24 +61,22 @@
     registry: Mailbox[RegistryMessage],
     trail: Mailbox[TrailMessage],
     own: Address,
-    request: web.BaseRequest,
-) -> web.Response:
+    request: Request,
+) -> Response:
     instance = unquote(request.path[len(HEARTBEAT_PREFIX) :])
-    server = decode_heartbeat(instance, await _body(request), time.time())
+    server = decode_heartbeat(instance, await request.body(_MAX_BYTES), time.time())
     if isinstance(server, str) or server.backend != own:
         detail = server if isinstance(server, str) else f"address is not {own}"
         fields = {"instance": instance, "detail": detail}
         trail.tell(Note(Event.HEARTBEAT_UNREADABLE, fields, Importance.FAILURE))
-        return web.Response(status=400, text=f"heartbeat: {detail}\n")
+        return Response(400, body=f"heartbeat: {detail}\n".encode())
     reply: Reply[bool] = Reply()
     return await _told(registry, Heartbeat(server, reply), reply)
 
 
-async def _deregister(
-    registry: Mailbox[RegistryMessage], request: web.BaseRequest
-) -> web.Response:
+async def _deregister(registry: Mailbox[RegistryMessage], request: Request) -> Response:
     instance = unquote(request.path[len(DEREGISTER_PREFIX) :])
-    found = _object(await _body(request))
+    found = _object(await request.body(_MAX_BYTES))
     born = found.get("born")
     reply: Reply[bool] = Reply()
     message = Deregistered(instance, born if _is_int(born) else None, Phase.GONE, reply)
@@ -86,16 +87,10 @@
     registry: Mailbox[RegistryMessage],
     message: Heartbeat | Deregistered,
     reply: Reply[bool],
-) -> web.Response:
+) -> Response:
     """Tell the registry, and acknowledge when the news is in force."""
     in_force = await ask(registry, message, reply, _ANSWER_S)
-    return web.json_response({}) if in_force else web.Response(status=503)
-
-
-async def _body(request: web.BaseRequest) -> bytes:
-    if (request.content_length or 0) > _MAX_BYTES:
-        return b""
-    return await request.read()
+    return Response(200, _JSON, b"{}") if in_force else Response(503)
 
 
 def _object(body: bytes) -> Mapping[str, Any]:
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -4,11 +4,9 @@
 
 from collections.abc import Mapping
 
-from aiohttp import web
-
 from _masticspoke.border.forwarding import forwarded
 from _masticspoke.decisions.fleet.model import Configuration
-from _masticspoke.entry.listener import Handler
+from _masticspoke.decisions.fleet.model import limits_of
 from _masticspoke.fleet.front import Asked
 from _masticspoke.fleet.front import conduct
 from _masticspoke.fleet.front import Ended
@@ -17,6 +15,10 @@
 from _masticspoke.fleet.guarding import Passed
 from _masticspoke.fleet.guarding import Sent
 from _masticspoke.fleet.sending import Outlet
+from _masticspoke.http_server import Handler
+from _masticspoke.http_server import Request
+from _masticspoke.http_server import Response
+from _masticspoke.http_server import Streamed
 from _masticspoke.platform.names import DEADLINE_MS
 from _masticspoke.platform.names import READINESS_PATH
 from _masticspoke.platform.names import REPLACED
@@ -40,46 +42,41 @@
 def ingress_handler(port: FrontPort) -> Handler:
     """Return the handler of requests that begin on this VM."""
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(request: Request) -> Response | Streamed:
         started = port.send.guard.clock()
-        target = request.raw_path
+        target = request.target
         if not target.startswith("/"):
-            return web.Response(status=400, text="the target must be a path\n")
-        try:
-            body = await request.read() if request.can_read_body else b""
-        except web.RequestPayloadError:
-            return web.Response(status=400, text="the body did not arrive whole\n")
+            return Response(400, body=b"the target must be a path\n")
+        limits = limits_of(port.configuration.value)
+        body = await request.body(limits.body_bytes)
         sent = Sent(request.method, target, forwarded(request.headers, REPLACED), body)
-        outlet = Outlet(request)
-        result = await conduct(port, _asked(request), sent, outlet, started)
+        result = await conduct(port, _asked(request), sent, Outlet(request), started)
         if isinstance(result, Unanswered):
             return _unanswered(result)
         if isinstance(result, Passed):
             return result.response
-        return web.Response(
-            status=result.status, headers=result.headers, body=result.body
-        )
+        return Response(result.status, result.headers, result.body)
 
     return handle
 
 
-def _asked(request: web.BaseRequest) -> Asked:
+def _asked(request: Request) -> Asked:
     deadline = request.headers.get(DEADLINE_MS, "")
     known = deadline.isascii() and deadline.isdigit()
     known = known and len(deadline) <= _MAX_DEADLINE_DIGITS
     return Asked(
         request_id=request.headers.get(REQUEST_ID, ""),
         host=request.headers.get("Host", "").lower(),
-        path=request.raw_path.partition("?")[0],
+        path=request.path,
         budget_s=int(deadline) / 1000 if known else None,
     )
 
 
-def _unanswered(result: Unanswered) -> web.Response:
+def _unanswered(result: Unanswered) -> Response:
     headers = {REASON_HEADER: result.reason}
     if result.retry_s is not None:
         headers[RETRY_AFTER] = f"{result.retry_s:.2f}"
-    return web.Response(status=_STATUS[result.how], headers=headers)
+    return Response(_STATUS[result.how], headers)
 
 
 def readiness_handler(
@@ -87,10 +84,10 @@
 ) -> Handler:
     """Return the handler of the platform's question whether clients may come."""
 
-    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(request: Request) -> Response:
         if request.path != READINESS_PATH:
-            return web.Response(status=404)
+            return Response(404)
         ready = configuration.value is not None and not stop.under_way
-        return web.Response(status=200 if ready else 503)
+        return Response(200 if ready else 503)
 
     return handle
--- a/src/_masticspoke/supervise/mailbox.py
+++ b/src/_masticspoke/supervise/mailbox.py
@@ -128,37 +128,56 @@
     """Takes the place of an answer that will not come."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Missing:
+    """Takes the place of an answer that has not come yet."""
+
+
+_MISSING = _Missing()
+
+
 @final
 class Reply(Generic[T]):
-    """The answer to one question; the asking task waits for it."""
+    """The answer to one question; the asking task waits for it.
+
+    Most questions are answered while they are told; these need no future.
+    """
 
-    __slots__ = ("_future",)
+    __slots__ = ("_answer", "_future")
 
     def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._future: asyncio.Future[T | _Dropped] = loop.create_future()
+        self._answer: T | _Dropped | _Missing = _MISSING
+        self._future: asyncio.Future[T | _Dropped] | None = None
 
     @property
     def abandoned(self) -> bool:
         """Whether the asking task no longer waits."""
-        return self._future.cancelled()
+        return self._future is not None and self._future.cancelled()
 
     def answer(self, value: T) -> None:
         """Give the answer; a second one is ignored."""
-        if not self._future.done():
-            self._future.set_result(value)
+        self._settle(value)
 
     def drop(self) -> None:
         """Tell the asking task that there will be no answer."""
-        if not self._future.done():
-            self._future.set_result(_Dropped())
+        self._settle(_Dropped())
+
+    def _settle(self, value: T | _Dropped) -> None:
+        if isinstance(self._answer, _Missing):
+            self._answer = value
+            if self._future is not None and not self._future.done():
+                self._future.set_result(value)
 
     async def value(self) -> T:
         """Wait for the answer.
 
         :raises TaskCrashedError: when the task crashed with the question in hand.
         """
-        value = await self._future
+        value = self._answer
+        if isinstance(value, _Missing):
+            self._future = asyncio.get_running_loop().create_future()
+            value = await self._future
         if isinstance(value, _Dropped):
             raise TaskCrashedError(
                 "a task crashed with a question in hand", "look at event 1101"
