--- a/src/_masticspoke/border/hop.py
+++ b/src/_masticspoke/border/hop.py
@@ -4,7 +4,6 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
 from typing import final
 
 from _masticspoke.decisions.fleet.model import GuardLoad
@@ -14,6 +13,10 @@
 JOB_HEADER = "Masticspoke-Job"
 GUARD_HEADER = "Masticspoke-Guard"
 FATE_PATH = "/.masticspoke/fate"
+# The parts of the json module that its dumps and loads wrap: these lists are short, and
+# each call carries four of them.
+_quoted = json.encoder.encode_basestring_ascii
+_scan = json.JSONDecoder().raw_decode
 
 
 @final
@@ -36,32 +39,26 @@
 
 def encode_job(job: Job, now: float) -> str:
     """Return the value of :data:`JOB_HEADER`; times travel as what is left."""
-    return json.dumps(
-        [
-            job.request_id,
-            job.route,
-            job.service,
-            job.caller,
-            job.rank,
-            int(job.repeatable),
-            int(job.nested),
-            int(job.repeat),
-            int((job.objective_at - now) * 1000),
-            int((job.deadline - now) * 1000),
-        ],
-        separators=(",", ":"),
+    texts = (job.request_id, job.route, job.service, job.caller)
+    numbers = (
+        job.rank,
+        int(job.repeatable),
+        int(job.nested),
+        int((job.objective_at - now) * 1000),
+        int((job.deadline - now) * 1000),
     )
+    return f"[{','.join(map(_quoted, texts))},{','.join(map(str, numbers))}]"
 
 
 def decode_job(value: str | None, now: float) -> Job | None:
     """Return the job that a node sent; ``None`` if it is malformed."""
     try:
-        found = json.loads(value or "")
+        found, _ = _scan(value or "")
         request_id, route, service, caller, *numbers = found
         texts = (request_id, route, service, caller)
         if not all(isinstance(text, str) for text in texts):
             return None
-        rank, repeatable, nested, repeat, objective_ms, left_ms = map(int, numbers)
+        rank, repeatable, nested, objective_ms, left_ms = map(int, numbers)
     except (ValueError, TypeError):
         return None
     return Job(
@@ -72,7 +69,6 @@
         rank=rank,
         repeatable=bool(repeatable),
         nested=bool(nested),
-        repeat=bool(repeat),
         objective_at=now + objective_ms / 1000,
         deadline=now + left_ms / 1000,
     )
@@ -81,26 +77,24 @@
 def encode_guard(answer: GuardAnswer) -> str:
     """Return the value of :data:`GUARD_HEADER`."""
     load = answer.load
-    return json.dumps(
-        [
-            answer.not_run,
-            int(answer.broke),
-            int(answer.arrived),
-            int(answer.retry_s * 1000),
-            load.running,
-            load.queued,
-            load.limit,
-            int(load.run_s * 1000),
-            int(load.pressure_s * 1000),
-        ],
-        separators=(",", ":"),
+    numbers = (
+        int(answer.broke),
+        int(answer.arrived),
+        int(answer.retry_s * 1000),
+        load.running,
+        load.queued,
+        load.limit,
+        int(load.run_s * 1000),
+        int(load.pressure_s * 1000),
     )
+    reason = "null" if answer.not_run is None else _quoted(answer.not_run)
+    return f"[{reason},{','.join(map(str, numbers))}]"
 
 
 def decode_guard(value: str | None) -> GuardAnswer | None:
     """Return what a guard said; ``None`` if it is malformed."""
     try:
-        found: list[Any] = json.loads(value or "")
+        found, _ = _scan(value or "")
         reason = None if found[0] is None else NotRun(found[0])
         broke, arrived, retry_ms, running, queued, limit, run_ms, pressure_ms = map(
             int, found[1:]
--- a/src/_masticspoke/decisions/fleet/volume.py
+++ b/src/_masticspoke/decisions/fleet/volume.py
@@ -17,6 +17,9 @@
 class Importance(Enum):
     """How a line fares when there are too many."""
 
+    # Members are singletons; the hash of Enum is a call for each look-up.
+    __hash__ = object.__hash__
+
     CHANGE = "change"
     FAILURE = "failure"
     ROUTINE = "routine"
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -26,6 +26,9 @@
 class Event(Enum):
     """All events that a node or tool logs."""
 
+    # Members are singletons; the hash of Enum is a call for each look-up.
+    __hash__ = object.__hash__
+
     NODE_STARTED = EventSpec(1001, "INFO", "node started")
     NODE_STOPPING = EventSpec(1002, "INFO", "node is stopping")
     NODE_STOPPED = EventSpec(1003, "INFO", "node stopped")
--- a/src/_masticspoke/fleet/counts.py
+++ b/src/_masticspoke/fleet/counts.py
@@ -82,9 +82,12 @@
 
 def _add(counts: Counts, metric: Metric, *labels: str) -> None:
     key = (metric, labels)
-    if key not in counts.counters and len(counts.counters) >= _MAX_SERIES:
+    counters = counts.counters
+    count = counters.get(key)
+    if count is None and len(counters) >= _MAX_SERIES:
         key = (metric, (_OTHER,) * len(labels))
-    counts.counters[key] += 1
+        count = counters.get(key)
+    counters[key] = (count or 0) + 1
 
 
 def samples(
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -189,7 +189,6 @@
         rank=route.rank,
         repeatable=route.repeatable,
         nested=progress.nested,
-        repeat=progress.arrived > 0,
         objective_at=progress.started + route.objective_s,
         deadline=progress.started + min(budget_s, route.timeout_s),
     )
--- a/src/_masticspoke/fleet/gate.py
+++ b/src/_masticspoke/fleet/gate.py
@@ -85,7 +85,6 @@
             _HANDLERS,
             clock,
             life,
-            after_each=_publish,
             wait_s=_wait_s,
             on_timer=_advance,
         )
@@ -116,18 +115,21 @@
 
 def _run_ended(state: _GateState, message: RunEnded, now: float) -> None:
     _give(state, queueing.finish(state.queue, message.ticket, message.ran, now))
+    _publish(state)
 
 
 def _caller_left(state: _GateState, message: CallerLeft, now: float) -> None:
     if state.replies.pop(message.ticket, None) is not None:
         queueing.forget(state.queue, message.ticket)
     _give(state, queueing.finish(state.queue, message.ticket, ran=False, now=now))
+    _publish(state)
 
 
 def _own_backend(state: _GateState, message: OwnBackend, now: float) -> None:
     before = state.server
     state.server = message.server
     state.queue.slots = message.server.slots
+    _publish(state)
     if state.closed:
         return
     if message.server.phase is not Phase.READY:
@@ -165,6 +167,7 @@
 def _downstream(state: _GateState, message: Downstream, now: float) -> None:
     state.downstream_s = message.pressure_s
     adjust(state.throttle, message.pressure_s, now)
+    _publish(state)
 
 
 def _close_door(state: _GateState, message: CloseDoor, now: float) -> None:
@@ -187,7 +190,7 @@
     _give(state, queueing.advance(state.queue, now))
 
 
-def _publish(state: _GateState, now: float) -> None:
+def _publish(state: _GateState) -> None:
     queue = state.queue
     load = GuardLoad(
         running=len(queue.running),
--- a/src/_masticspoke/fleet/trail.py
+++ b/src/_masticspoke/fleet/trail.py
@@ -33,6 +33,8 @@
 _COLLECT_S = 0.25
 # Bytes that wait for a slow reader at most.
 _MAX_WAITING_BYTES = 262_144
+# Time between two lines that tell how many were dropped, seconds.
+_TELL_DROPPED_S = 1.0
 
 
 Write = Callable[[bytes], int]
@@ -47,6 +49,7 @@
     volume: Volume = field(default_factory=Volume)
     waiting: bytearray = field(default_factory=bytearray)
     lost: int = 0
+    told_dropped_at: float = 0.0
 
 
 def trail(
@@ -92,6 +95,12 @@
     if not keeps(state.volume, note.importance, now):
         return
     _add(state, note.event, note.fields)
+    if now - state.told_dropped_at >= _TELL_DROPPED_S:
+        state.told_dropped_at = now
+        _tell_dropped(state)
+
+
+def _tell_dropped(state: _TrailState) -> None:
     for importance, count in take_dropped(state.volume).items():
         count_dropped(state.counts, importance.value, count)
         fields = {"importance": importance.value, "lines": count}
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -36,6 +36,8 @@
 # What a client still sends after an early answer is read this long, so that closing
 # the connection does not take the answer away from it, seconds.
 _LINGER_S = 1.0
+# No operator allows fewer bytes of headers; only longer ones are measured.
+_SHORT_HEAD_BYTES = 1_024
 _REASONS = {status.value: status.phrase for status in HTTPStatus}
 # Statuses whose answers never have a body.
 _BODILESS = frozenset({204, 304})
@@ -235,6 +237,7 @@
         "_idle_since",
         "_last",
         "_queue",
+        "_received",
         "_requests",
         "_server",
         "_task",
@@ -259,6 +262,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._broken = False
+        self._received = 0
         self._idle_since: float | None = loop.time()
         self._head_since: float | None = None
 
@@ -288,6 +292,7 @@
         """Parse requests; what follows a broken one is not read."""
         if self._broken:
             return
+        self._received += len(data)
         try:
             messages, self._broken, _ = self._requests.feed_data(data)
         except HttpProcessingError as error:
@@ -350,6 +355,7 @@
 
     async def _next(self) -> tuple[RawRequestMessage, StreamReader] | None:
         if not self._queue:
+            self._received = 0
             self._idle_since = self._loop.time()
             self._waiter = self._loop.create_future()
             await self._waiter
@@ -389,9 +395,10 @@
     ) -> Response | Streamed:
         if "Expect" in head.headers and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        limit = self._server.limits.head_bytes
-        if sum(len(name) + len(value) for name, value in head.raw_headers) > limit:
-            return Response(431)
+        if self._received > _SHORT_HEAD_BYTES:
+            limit = self._server.limits.head_bytes
+            if sum(len(name) + len(value) for name, value in head.raw_headers) > limit:
+                return Response(431)
         try:
             return await self._handler(request)
         except BodyTooLongError:
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -34,6 +34,9 @@
 class Metric(Enum):
     """All metrics that a node exposes."""
 
+    # Members are singletons; the hash of Enum is a call for each look-up.
+    __hash__ = object.__hash__
+
     REQUESTS = MetricSpec(
         "masticspoke_requests_total",
         MetricType.COUNTER,
--- a/src/_masticspoke/metrics/window.py
+++ b/src/_masticspoke/metrics/window.py
@@ -10,6 +10,8 @@
 _HIGHEST_US = 600_000_000
 _SIGNIFICANT_DIGITS = 2
 _US_PER_S = 1e6
+# Latencies that wait for the histogram: filling it at once costs less each.
+_BATCH = 256
 
 
 @final
@@ -25,6 +27,7 @@
         self._begun = now
         self._present = _histogram()
         self._previous = _histogram()
+        self._waiting: list[int] = []
         self._count = 0
         self._sum_s = 0.0
 
@@ -42,7 +45,9 @@
         """Record a latency; one beyond the highest is recorded as the highest."""
         self._turn(now)
         value = min(_HIGHEST_US, max(_LOWEST_US, int(latency_s * _US_PER_S)))
-        self._present.record_value(value)
+        self._waiting.append(value)
+        if len(self._waiting) >= _BATCH:
+            self._fold()
         self._count += 1
         self._sum_s += latency_s
 
@@ -51,6 +56,7 @@
     ) -> tuple[float, ...] | None:
         """Return quantiles in seconds; ``None`` without a recent latency."""
         self._turn(now)
+        self._fold()
         both = _histogram()
         both.add(self._previous)
         both.add(self._present)
@@ -65,12 +71,18 @@
         age_s = now - self._begun
         if age_s < self._window_s:
             return
+        self._fold()
         self._previous, self._present = self._present, self._previous
         self._present.reset()
         if age_s >= 2 * self._window_s:
             self._previous.reset()
         self._begun = now
 
+    def _fold(self) -> None:
+        for value in self._waiting:
+            self._present.record_value(value)
+        self._waiting.clear()
+
 
 def _histogram() -> HdrHistogram:
     return HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
--- a/src/_masticspoke/supervise/server.py
+++ b/src/_masticspoke/supervise/server.py
@@ -120,7 +120,13 @@
 
     def handle(self, message: M) -> None:
         """Handle a message."""
-        self._guard(self._handlers[type(message)], message)
+        now = self._clock()
+        try:
+            self._handlers[type(message)](self._state, message, now)
+            self._end(now)
+        except Exception as error:
+            _drop_question(message)
+            self._fail(error)
 
     def close(self) -> None:
         """Handle nothing any more."""
@@ -128,23 +134,20 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _guard(self, act: Callable[[S, Any, float], None], message: M | None) -> None:
-        now = self._clock()
-        try:
-            act(self._state, message, now)
-            if self._after_each is not None:
-                self._after_each(self._state, now)
-            if self._wait_s is not None:
-                self._arm(self._wait_s(self._state, now))
-        except Exception as error:
-            _drop_question(message)
-            self._inbox.handle_with(None)
-            if not self._crash.done():
-                self._crash.set_exception(error)
+    def _end(self, now: float) -> None:
+        if self._after_each is not None:
+            self._after_each(self._state, now)
+        if self._wait_s is not None:
+            left_s = self._wait_s(self._state, now)
+            if left_s is not None:
+                self._arm(left_s)
 
-    def _arm(self, left_s: float | None) -> None:
-        if left_s is None:
-            return
+    def _fail(self, error: Exception) -> None:
+        self._inbox.handle_with(None)
+        if not self._crash.done():
+            self._crash.set_exception(error)
+
+    def _arm(self, left_s: float) -> None:
         due = self._loop.time() + max(0.0, left_s)
         if self._timer is not None:
             if self._due <= due:
@@ -155,9 +158,14 @@
 
     def _ring(self) -> None:
         self._timer = None
-        on_timer = self._on_timer
-        if on_timer is not None:
-            self._guard(lambda state, _, now: on_timer(state, now), None)
+        if self._on_timer is None:
+            return
+        now = self._clock()
+        try:
+            self._on_timer(self._state, now)
+            self._end(now)
+        except Exception as error:
+            self._fail(error)
 
 
 def _drop_question(message: Any) -> None:
