Do not repeat a run that a nested call of its own let down

Change: the node that conducts a nested call notes its failure at the run that made it; the guard tells that with the failed answer; the sender does not repeat such a run and does not count it as a failure of the server. Test that failed first: test_run_that_its_nested_call_let_down_is_not_repeated.

--- a/src/_masticspoke/decisions/fleet/budget.py
+++ b/src/_masticspoke/decisions/fleet/budget.py
@@ -28,8 +28,8 @@
 
 
 # Part of the bound that is used. Nested calls of repeated runs can't be avoided and
-# gather at some nodes; the rest of the bound is kept for them. The extra fans out along a
-# chain of services whatever their volume.
+# gather at some nodes; the rest of the bound is kept for them. The extra fans out
+# along a chain of services whatever their volume.
 _USED_RATIO = 0.4
 _USED_EXTRA = 0.15
 
--- a/src/_masticspoke/decisions/fleet/lineage.py
+++ b/src/_masticspoke/decisions/fleet/lineage.py
@@ -32,10 +32,12 @@
     """Ids of the requests that run at the own backend server, with their runs.
 
     :param repeats: those among them that ran elsewhere before.
+    :param let_down: those among them that had a nested call fail.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
     repeats: set[str] = field(default_factory=set)
+    let_down: set[str] = field(default_factory=set)
 
 
 def run_began(parents: Parents, request_id: str, repeat: bool) -> None:
@@ -53,6 +55,18 @@
     else:
         parents.runs.pop(request_id, None)
         parents.repeats.discard(request_id)
+        parents.let_down.discard(request_id)
+
+
+def nested_failed(parents: Parents, request_id: str) -> None:
+    """Note that a nested request failed: so will the run that made it.
+
+    To repeat that run would make all its calls again, where the one that failed has
+    been repeated already as far as the budget allows.
+    """
+    parent = request_id.rpartition(_SEPARATOR)[0]
+    if parent in parents.runs:
+        parents.let_down.add(parent)
 
 
 def origin_of(parents: Parents, request_id: str) -> Origin:
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 from typing import final
 
+from _masticspoke.decisions.fleet.lineage import nested_failed
 from _masticspoke.decisions.fleet.lineage import Origin
 from _masticspoke.decisions.fleet.lineage import origin_of
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -150,10 +151,18 @@
     origin = origin_of(port.send.guard.parents, asked.request_id)
     progress = _Progress(route, started, origin)
     result = await _attempts(port, asked, progress, sent, outlet)
+    if progress.nested and _has_failed(result):
+        nested_failed(port.send.guard.parents, asked.request_id)
     _note_end(port, asked, progress, result, started)
     return result
 
 
+def _has_failed(result: Result) -> bool:
+    if isinstance(result, Answer):
+        return result.status >= 500
+    return isinstance(result, Unanswered)
+
+
 async def _attempts(
     port: FrontPort, asked: Asked, progress: _Progress, sent: Sent, outlet: Outlet
 ) -> Result:
@@ -231,6 +240,7 @@
     route = progress.route
     return (
         answer.status >= 500
+        and not answer.let_down
         and route.repeatable
         and progress.arrived < route.max_attempts
     )
--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from itertools import count
 from typing import final
 
@@ -50,6 +51,8 @@
 # Headers that each node sets or that the transport sets anew.
 NO_HEADERS: frozenset[str] = frozenset()
 _RETRY_S = 0.2
+# Statuses from here on say that the backend server failed.
+_FAILURE = 500
 
 
 @final
@@ -69,11 +72,15 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """A backend server's whole answer."""
+    """A backend server's whole answer.
+
+    :param let_down: whether it is a failure after a nested call of the run failed.
+    """
 
     status: int
     headers: CIMultiDict[str]
     body: bytes
+    let_down: bool = False
 
 
 @final
@@ -158,6 +165,9 @@
         admitted = True
         run_began(port.parents, job.request_id, job.repeat)
         result = await _at_backend(port, job, sent, stream)
+        if isinstance(result, Answer) and result.status >= _FAILURE:
+            let_down = job.request_id in port.parents.let_down
+            result = replace(result, let_down=let_down)
         ran = isinstance(result, Answer | Passed)
         _note(port, job, result)
         return result
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -114,7 +114,7 @@
         return result.response
     if isinstance(result, Answer):
         headers = result.headers.copy()
-        headers[GUARD_HEADER] = encode_guard(_said(guard))
+        headers[GUARD_HEADER] = encode_guard(_said(guard, result))
         return Response(result.status, headers, result.body)
     said = {GUARD_HEADER: encode_guard(_said(guard, result))}
     text = result.detail if isinstance(result, Broke) else ""
@@ -144,7 +144,9 @@
     return handle
 
 
-def _said(port: GuardPort, result: Declined | Broke | None = None) -> GuardAnswer:
+def _said(
+    port: GuardPort, result: Answer | Declined | Broke | None = None
+) -> GuardAnswer:
     declined = result if isinstance(result, Declined) else None
     return GuardAnswer(
         not_run=None if declined is None else declined.reason,
@@ -152,4 +154,5 @@
         arrived=declined is None or declined.arrived,
         retry_s=0.0 if declined is None else declined.retry_s,
         load=port.load,
+        let_down=isinstance(result, Answer) and result.let_down,
     )
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -193,7 +193,8 @@
     headers = forwarded(upstream.headers, NO_HEADERS)
     if (upstream.content_length or 0) > WHOLE_ANSWER_BYTES:
         return Passed(await outlet.pass_on(upstream, headers))
-    return Answer(upstream.status, headers, await upstream.content.read())
+    body = await upstream.content.read()
+    return Answer(upstream.status, headers, body, guard.let_down)
 
 
 def _ended(one: _Send) -> SendEnded:
@@ -210,7 +211,7 @@
 
 def _failed(result: RunResult | None) -> bool | None:
     if isinstance(result, Answer):
-        return result.status >= 500
+        return None if result.let_down else result.status >= 500
     if isinstance(result, Declined):
         return None if result.reason in _NEUTRAL else True
     return True if isinstance(result, Broke) else None
--- a/testing/decisions/fleet/test_lineage.py
+++ b/testing/decisions/fleet/test_lineage.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from _masticspoke.decisions.fleet.lineage import nested_failed
 from _masticspoke.decisions.fleet.lineage import Origin
 from _masticspoke.decisions.fleet.lineage import origin_of
 from _masticspoke.decisions.fleet.lineage import Parents
@@ -35,3 +36,13 @@
     run_began(parents, "a2", repeat=False)
     assert origin_of(parents, "a1.b") is Origin.REPEATED_RUN
     assert origin_of(parents, "a2.b") is Origin.RUN
+
+
+def test_run_is_let_down_by_its_own_nested_calls_only() -> None:
+    parents = Parents()
+    run_began(parents, "a1", repeat=False)
+    nested_failed(parents, "a1.b")
+    nested_failed(parents, "a2.b")
+    assert parents.let_down == {"a1"}
+    run_ended(parents, "a1")
+    assert parents == Parents()
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -315,3 +315,26 @@
         assert f'{name}{{origin="client",{ended}}} 2' in lines
 
     play(tmp_path, scenario)
+
+
+def test_run_that_its_nested_call_let_down_is_not_repeated(tmp_path: Path) -> None:
+    see = ["see", "shop.example", "/see/", "idempotent", 1500, 800, 1, None, 2, "board"]
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ, see)
+        entry = await fleet.add("desk")
+        boards = [await fleet.add("board", run_s=0.3) for _ in range(2)]
+        await fleet.know_each_other()
+        entry.backend.faults = ["failing"] * 2
+        for board in boards:
+            board.backend.faults = ["failing"]
+        asked = asyncio.create_task(fleet.ask(entry, "/see/1"))
+        await until(lambda: bool(arrivals(*boards)))
+        (parent,) = arrivals(*boards)
+        (at,) = (board for board in boards if board.backend.arrivals)
+        nested = await fleet.ask(at, "/read/1", **{"X-Attempt-Id": f"{parent}.c"})
+        assert nested[0] == 500
+        assert (await asked)[0] == 500
+        assert arrivals(*boards) == [parent]
+
+    play(tmp_path, scenario)
