--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -151,16 +151,17 @@
     origin = origin_of(port.send.guard.parents, asked.request_id)
     progress = _Progress(route, started, origin)
     result = await _attempts(port, asked, progress, sent, outlet)
-    if progress.nested and _has_failed(result):
+    if progress.nested and _lets_down(result):
         nested_failed(port.send.guard.parents, asked.request_id)
     _note_end(port, asked, progress, result, started)
     return result
 
 
-def _has_failed(result: Result) -> bool:
+def _lets_down(result: Result) -> bool:
     if isinstance(result, Answer):
         return result.status >= 500
-    return isinstance(result, Unanswered)
+    # A call that ran out of time may have met one slow server; the next run asks another.
+    return isinstance(result, Unanswered) and result.how is not Ended.EXPIRED
 
 
 async def _attempts(
