--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -160,7 +160,7 @@
 def _lets_down(result: Result) -> bool:
     if isinstance(result, Answer):
         return result.status >= 500
-    # A call that ran out of time may have met one slow server; the next run asks another.
+    # A call that ran out of time may have met one slow server; a new run asks another.
     return isinstance(result, Unanswered) and result.how is not Ended.EXPIRED
 
 
