--- /dev/null
+++ b/testing/contract/front_ends.py
@@ -0,0 +1,161 @@
+"""Both front ends of the product: one thing to ask and backend servers to watch."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from itertools import count
+from pathlib import Path
+
+import aiohttp
+from testing.fleet.platform_fleet import HOST
+from testing.fleet.platform_fleet import Node
+from testing.fleet.platform_fleet import platform_fleet
+from testing.live.fleet import Fleet
+from testing.live.fleet import ROOT
+from testing.standins.platform_backend import LONG_BODY
+
+READ = "/read/"
+LONG = "/long/"
+SLOW = "/slow/"
+SHED = "/shed/"
+SLOW_S = 1.5
+MAX_SENDS = 3
+_CATALOGUE = ROOT / "examples" / "kerala-south.ini"
+_NUMBERS = count()
+
+
+@dataclass(frozen=True)
+class Seen:
+    """What the backend servers have seen so far.
+
+    :param sent: requests that they got, also those that they did not run.
+    :param running: requests that they work on.
+    """
+
+    sent: int
+    running: int
+
+
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class FrontEnd:
+    """One front end.
+
+    :param ask: sends a request of one of the kinds above with a deadline, in seconds.
+    :param seen: asks the backend servers.
+    :param handed_down_s: the deadline that reached a backend server with an answer.
+    :param long_body: the body of a long answer.
+    """
+
+    ask: Callable[[str, float], Awaitable[Answer]]
+    seen: Callable[[], Awaitable[Seen]]
+    handed_down_s: Callable[[Answer], float]
+    long_body: bytes
+
+
+async def _fetch(
+    session: aiohttp.ClientSession, url: str, headers: dict[str, str]
+) -> Answer:
+    async with session.get(url, headers=headers) as answer:
+        return Answer(answer.status, await answer.read())
+
+
+@asynccontextmanager
+async def product(folder: Path) -> AsyncIterator[FrontEnd]:
+    """The product's own front end: processes, INI settings and a catalogue."""
+    size = len(LONG_BODY)
+    targets = {
+        READ: "/batches/1",
+        LONG: f"/batches/1?size={size}",
+        SLOW: f"/batches/1?latency_ms={SLOW_S * 1000:.0f}",
+        SHED: "/archives/1",
+    }
+    with Fleet(folder) as fleet:
+        front = fleet.add("front", "inspect-desk", "kochi-a")
+        servers = [fleet.add(name, "batch-board", "kochi-a") for name in "bc"]
+        servers += [fleet.add(name, "audit-vault", "kochi-a", shed=1) for name in "de"]
+        fleet.apply(_CATALOGUE)
+        fleet.wait_ready()
+        async with aiohttp.ClientSession() as session:
+
+            async def ask(kind: str, deadline_s: float) -> Answer:
+                headers = {"Masticspoke-Deadline-Ms": f"{deadline_s * 1000:.0f}"}
+                return await _fetch(session, front.url + targets[kind], headers)
+
+            async def seen() -> Seen:
+                found = []
+                for server in servers:
+                    url = f"http://127.0.0.1:{server.own_port}/runs"
+                    found.append(json.loads((await _fetch(session, url, {})).body))
+                sent = sum(one["served"] + one["shed"] for one in found)
+                return Seen(sent, sum(one["running"] for one in found))
+
+            yield FrontEnd(ask, seen, _product_deadline_s, LONG_BODY_OF_PRODUCT)
+
+
+def _product_deadline_s(answer: Answer) -> float:
+    headers = json.loads(answer.body)["headers"]
+    return int(headers["Masticspoke-Deadline-Ms"]) / 1000
+
+
+def _product_body(size: int) -> bytes:
+    whole = bytes(range(251)) * (size // 251 + 1)
+    return whole[:size]
+
+
+LONG_BODY_OF_PRODUCT = _product_body(len(LONG_BODY))
+
+
+@asynccontextmanager
+async def platform(folder: Path) -> AsyncIterator[FrontEnd]:
+    """The front end of the users' platform."""
+
+    def route(path: str, service: str) -> list[object]:
+        kind = "idempotent"
+        return [path, HOST, path, kind, 5000, 1000, 1, None, MAX_SENDS, service]
+
+    async with platform_fleet(folder) as fleet:
+        services = {READ: "desk", LONG: "vault", SLOW: "board", SHED: "shop"}
+        fleet.publish(*(route(path, name) for path, name in services.items()))
+        entry = await fleet.add("front")
+        nodes: list[Node] = []
+        for path, name in services.items():
+            run_s = SLOW_S if path == SLOW else 0.0
+            nodes += [await fleet.add(name, run_s=run_s) for _ in range(2)]
+        await fleet.know_each_other()
+        for node in nodes:
+            every = {"vault": "long", "shop": "shed"}.get(node.backend.service)
+            node.backend.faults = [every] * 20 if every else []
+
+        async def ask(kind: str, deadline_s: float) -> Answer:
+            budget_ms = int(deadline_s * 1000)
+            status, body, _ = await fleet.ask(entry, kind, budget_ms=budget_ms)
+            return Answer(status, body)
+
+        async def seen() -> Seen:
+            sent = sum(n.backend.requests for n in nodes)
+            return Seen(sent, sum(n.backend.running for n in nodes))
+
+        def handed_down_s(answer: Answer) -> float:
+            (arrival,) = [a for n in nodes for a in n.backend.arrivals]
+            return arrival.deadline_ms / 1000
+
+        yield FrontEnd(ask, seen, handed_down_s, LONG_BODY)
+
+
+async def until_idle(front_end: FrontEnd, timeout_s: float) -> None:
+    """Wait until the backend servers work on nothing."""
+    async with asyncio.timeout(timeout_s):
+        while (await front_end.seen()).running:
+            await asyncio.sleep(0.02)
--- a/testing/standins/platform_backend.py
+++ b/testing/standins/platform_backend.py
@@ -17,6 +17,8 @@
 import aiohttp
 from aiohttp import web
 
+LONG_BODY = bytes(range(256)) * 8_192
+
 
 @dataclass
 class Arrival:
@@ -34,6 +36,7 @@
 
     :param run_s: time that each request takes.
     :param faults: what happens to the next requests, in order.
+    :param requests: all that it got, also those that it did not run.
     """
 
     host: str
@@ -46,6 +49,7 @@
     faults: list[str] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     running: int = 0
+    requests: int = 0
     sequence: int = 0
     runner: web.ServerRunner | None = None
 
@@ -64,6 +68,7 @@
         request_id = request.headers.get("X-Attempt-Id", "")
         if request.headers.get("X-Expected-Instance") != self.instance:
             return web.Response(status=421, headers={"X-Instance-Id": self.instance})
+        self.requests += 1
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "shed":
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
@@ -139,6 +144,13 @@
     return web.Response()
 
 
+async def long(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    """Answer with more than a node holds before it passes it on."""
+    return web.Response(body=LONG_BODY, headers=backend.headers(request_id))
+
+
 async def truncated(
     backend: PlatformBackend, request: web.BaseRequest, request_id: str
 ) -> web.StreamResponse:
@@ -203,6 +215,7 @@
 
 
 FAULTS: dict[str, Make] = {
+    "long": long,
     "failing": failing,
     "reset": reset,
     "truncated": truncated,
