--- a/testing/test_node.py
+++ b/testing/test_node.py
@@ -27,7 +27,7 @@
 @asynccontextmanager
 async def serving(app: web.Application | web.Server) -> AsyncIterator[int]:
     runner: web.BaseRunner = (
-        web.AppRunner(app)
+        web.AppRunner(app, shutdown_timeout=0.1)
         if isinstance(app, web.Application)
         else web.ServerRunner(app)
     )
