--- a/src/_masticspoke/cli/explain.py
+++ b/src/_masticspoke/cli/explain.py
@@ -25,7 +25,7 @@
         )
     for line in found:
         print(_one_line(line))
-    print(f"cause: {cause(found)}")
+    print(f"cause: {cause(found, options.id)}")
     return 0
 
 
--- a/src/_masticspoke/decisions/fleet/explanation.py
+++ b/src/_masticspoke/decisions/fleet/explanation.py
@@ -32,17 +32,47 @@
 def related(
     lines: Iterable[Mapping[str, Any]], request_id: str
 ) -> list[Mapping[str, Any]]:
-    """Return the lines of one request in time order."""
-    found = [line for line in lines if line.get("id") == request_id]
+    """Return the lines of one request and of its nested ones, in time order."""
+    found = [line for line in lines if _belongs(str(line.get("id", "")), request_id)]
     return sorted(found, key=lambda line: float(line.get("t", 0.0)))
 
 
-def cause(lines: Sequence[Mapping[str, Any]]) -> str:
+def _belongs(found: str, request_id: str) -> bool:
+    # The id of a nested request extends that of the request that made it.
+    return found == request_id or found.startswith(request_id + ".")
+
+
+def cause(lines: Sequence[Mapping[str, Any]], request_id: str) -> str:
     """Return the cause that the lines of one request tell."""
-    ends = [line for line in lines if "outcome" in line]
+    ends = [line for line in lines if "outcome" in line and line["id"] == request_id]
     if not ends:
         return "its end is in none of the files: the entry node's log is missing"
-    last = ends[-1]
+    why = _why(ends[-1])
+    if not _failed(ends[-1]):
+        return why
+    deepest = _deepest_failure(lines, request_id)
+    if deepest is None:
+        return why
+    return f"{why}; its nested request {deepest['id']} {_why(deepest)}"
+
+
+def _deepest_failure(
+    lines: Sequence[Mapping[str, Any]], request_id: str
+) -> Mapping[str, Any] | None:
+    """Return the end of the nested request where the failure began, if any."""
+    failed = [
+        line
+        for line in lines
+        if "outcome" in line and line["id"] != request_id and _failed(line)
+    ]
+    return max(failed, key=lambda line: str(line["id"]).count("."), default=None)
+
+
+def _failed(end: Mapping[str, Any]) -> bool:
+    return "reason" in end or str(end["outcome"]).startswith("5")
+
+
+def _why(last: Mapping[str, Any]) -> str:
     if "reason" in last:
         reason = str(last["reason"])
         return CAUSES.get(reason, f"ended with reason {reason}")
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -67,3 +67,19 @@
     assert "add the logs" in capsys.readouterr().err
     assert main(["explain", "r1", str(tmp_path / "none")]) == 8
     assert "name a readable file" in capsys.readouterr().err
+
+
+def test_failure_of_a_nested_request_is_the_cause(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    outer = {**ENTRY, "event": 4001, "outcome": 500, "sends": ["10.0.0.2:80:500"]}
+    del outer["reason"]
+    middle = {**outer, "id": "r1.a", "t": 1.9}
+    nested = {**ENTRY, "id": "r1.a.b", "t": 1.8, "node": "c"}
+    other = {**ENTRY, "id": "r10.a", "t": 1.7}
+
+    path = written(tmp_path / "all", nested, middle, outer, other)
+    assert main(["explain", "r1", path]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == 4
+    assert "its nested request r1.a.b refused under load" in lines[-1]
