Log the stop of a node, send shared events to the trail, name refusals for pressure

Change: 1002 at the signal, 1003 as the last line, numbered events through the trail, 1103 for a crashed handler; the reasons pressure and absent. Tests: testing/platform/test_node.py (the process: start, reload, stop, wrong settings, a second signal), test_guard_of_another_service_says_moved.

--- a/src/_masticspoke/decisions/fleet/explanation.py
+++ b/src/_masticspoke/decisions/fleet/explanation.py
@@ -11,6 +11,8 @@
 CAUSES: Mapping[str, str] = {
     "busy": "refused under load: its service had no room in time; compare running and"
     " limit in the guard's lines, and add capacity or lower the load",
+    "pressure": "refused under load: services that it calls had no room; look at the"
+    " guards of those for the reason busy",
     "shed": "refused under load: the backend server itself shed it",
     "too-late": "refused: too little time was left for its usual run time",
     "leaving": "refused: the servers that it was sent to were leaving",
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -146,6 +146,7 @@
     """Why a guard did not run a request."""
 
     BUSY = "busy"
+    PRESSURE = "pressure"
     TOO_LATE = "too-late"
     LEAVING = "leaving"
     ABSENT = "absent"
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -34,6 +34,7 @@
     NODE_STOPPED = EventSpec(1003, "INFO", "node stopped")
     CHILD_CRASHED = EventSpec(1101, "ERROR", "task crashed and is restarted")
     MAILBOX_FULL = EventSpec(1102, "WARNING", "mailbox full, message refused")
+    HANDLER_CRASHED = EventSpec(1103, "ERROR", "request's handler crashed")
     REQUESTS_CUT = EventSpec(1201, "WARNING", "requests cut at the stop time limit")
     CATALOGUE_IN_FORCE = EventSpec(2001, "INFO", "catalogue version in force")
     CATALOGUE_REJECTED = EventSpec(2002, "WARNING", "catalogue change not accepted")
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -41,7 +41,7 @@
 # Retry-After where no server takes work: about what a restart takes, seconds.
 _RETRY_S = 1.0
 # Reasons whose guards know when there is room.
-_GUARD_KNOWS = frozenset({NotRun.BUSY, NotRun.SHED})
+_GUARD_KNOWS = frozenset({NotRun.BUSY, NotRun.PRESSURE, NotRun.SHED})
 # A request without a deadline of its own gets this one, seconds.
 _DEFAULT_BUDGET_S = 30.0
 
--- a/src/_masticspoke/fleet/gate.py
+++ b/src/_masticspoke/fleet/gate.py
@@ -95,11 +95,12 @@
 def _admit(state: _GateState, message: Admit, now: float) -> None:
     job = message.job
     if job.service != _service_of(state):
-        refusal = Refuse(message.ticket, NotRun.MOVED, queueing.MIN_RETRY_S)
+        reason = NotRun.ABSENT if state.server is None else NotRun.MOVED
+        refusal = Refuse(message.ticket, reason, queueing.MIN_RETRY_S)
         message.reply.answer(refusal)
         return
     if not job.nested and not lets_in(state.throttle, job.rank):
-        refusal = Refuse(message.ticket, NotRun.BUSY, _PRESSURE_RETRY_S)
+        refusal = Refuse(message.ticket, NotRun.PRESSURE, _PRESSURE_RETRY_S)
         message.reply.answer(refusal)
         return
     verdict = queueing.admit(state.queue, message.ticket, job, now)
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -43,7 +43,7 @@
 from _masticspoke.supervise.supervisor import Clock
 
 # Reasons that say nothing about whether the server fails.
-_NEUTRAL = frozenset({NotRun.BUSY, NotRun.TOO_LATE})
+_NEUTRAL = frozenset({NotRun.BUSY, NotRun.PRESSURE, NotRun.TOO_LATE})
 _RETRY_S = 0.2
 # The guard's own word at the deadline tells more than a timeout here, seconds.
 _GUARD_GRACE_S = 0.02
--- a/src/_masticspoke/fleet/trail.py
+++ b/src/_masticspoke/fleet/trail.py
@@ -108,15 +108,25 @@
 
 
 def _add(state: _TrailState, event: Event, fields: Mapping[str, object]) -> None:
+    state.waiting += encode_line(state.node, state.wall(), event, fields)
+
+
+def encode_line(
+    node: str, wall_s: float, event: Event, fields: Mapping[str, object]
+) -> bytes:
+    """Return a structured log line.
+
+    :param wall_s: time of day, Unix seconds.
+    """
     spec = event.value
     line = {
-        "t": round(state.wall(), 3),
-        "node": state.node,
+        "t": round(wall_s, 3),
+        "node": node,
         "event": spec.number,
         "text": spec.text,
         **fields,
     }
-    state.waiting += json.dumps(line, separators=(",", ":")).encode() + b"\n"
+    return json.dumps(line, separators=(",", ":")).encode() + b"\n"
 
 
 def _flush(state: _TrailState, write: Write) -> None:
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -30,6 +30,8 @@
 
 from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.connections import READ_BUFFER_BYTES
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
 
 # Requests of one connection that wait behind the one in hand before reading pauses.
 _MAX_PIPELINED = 8
@@ -408,7 +410,8 @@
         except ConnectionError:
             raise
         except Exception as error:
-            logger.opt(exception=error).error("handler crashed: {!r}", error)
+            log_event(Event.HANDLER_CRASHED, error=repr(error))
+            logger.opt(exception=error).debug("handler crashed")
             return Response(500)
 
     async def _linger(self, content: StreamReader) -> None:
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -10,6 +10,9 @@
 from testing.fleet.platform_fleet import play
 from testing.fleet.platform_fleet import until
 
+from _masticspoke.border.hop import decode_guard
+from _masticspoke.decisions.fleet.model import NotRun
+
 READ = ["read", "shop.example", "/read/", "idempotent", 1500, 800, 1, None, 2, "desk"]
 BOOK = [
     "book",
@@ -338,3 +341,20 @@
         assert arrivals(*boards) == [parent]
 
     play(tmp_path, scenario)
+
+
+def test_guard_of_another_service_says_moved(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        _, desk, _ = await two_desks(fleet)
+        job = '["r9","read","%s","board",1,1,0,0,500,900]'
+        reasons = []
+        for service in ("desk", "board"):
+            url = f"http://{desk.parts.settings.nodes}/read/1"
+            headers = {"Masticspoke-Job": job % service}
+            async with fleet.session.get(url, headers=headers) as answer:
+                found = decode_guard(answer.headers["Masticspoke-Guard"])
+                assert found is not None
+                reasons.append(found.not_run)
+        assert reasons == [None, NotRun.MOVED]
+
+    play(tmp_path, scenario)
--- /dev/null
+++ b/testing/platform/test_node.py
@@ -0,0 +1,105 @@
+"""The node on the platform as a process of its own."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from testing.live.fleet import free_port
+from testing.live.fleet import http
+from testing.live.fleet import ROOT
+from testing.live.fleet import wait_until
+from testing.platform.test_settings import written
+
+_COMMAND = [sys.executable, "-m", "_masticspoke.platform"]
+# The grace period of the settings below.
+_GRACE_S = 6.0
+
+
+def settings(folder: Path) -> tuple[Path, int]:
+    """Return the settings of a node without a log, and its readiness port."""
+    names = ("outbound", "inbound", "readiness_address", "control_plane")
+    ports = {name: free_port() for name in names}
+    fields = {
+        f"listeners_by_port.{name}": f"127.0.0.1:{port}" for name, port in ports.items()
+    }
+    fields["ip"] = "127.0.0.1"
+    fields["internal_port_range.0"] = str(free_port())
+    fields["platform.address"] = f"127.0.0.1:{free_port()}"
+    fields["seed_nodes"] = ""
+    return written(folder, **fields), ports["readiness_address"]
+
+
+def start(path: Path) -> subprocess.Popen[bytes]:
+    environment = {**os.environ, "MASTICSPOKE_SETTINGS": str(path)}
+    return subprocess.Popen(
+        _COMMAND,
+        cwd=ROOT,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+def is_up(port: int) -> bool:
+    try:
+        return http("GET", f"http://127.0.0.1:{port}/readiness")[0] == 503
+    except OSError:
+        return False
+
+
+def lines(output: bytes) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in output.splitlines()]
+
+
+def test_lines_tell_of_start_reload_and_stop(tmp_path: Path) -> None:
+    path, port = settings(tmp_path)
+    process = start(path)
+    try:
+        wait_until(lambda: is_up(port), 10, "readiness answers 503")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        began = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=_GRACE_S)
+        assert time.monotonic() - began < _GRACE_S
+    finally:
+        process.kill()
+    assert process.returncode == 0
+    found = [line["event"] for line in lines(output)]
+    assert found[0] == 1001
+    assert found[-1] == 1003
+    assert found.index(4204) < found.index(1002)
+
+
+def test_wrong_settings_end_with_one_line(tmp_path: Path) -> None:
+    path, _ = settings(tmp_path)
+    path.write_text(path.read_text().replace("clients = ", "clients = none"))
+    process = start(path)
+    _, error = process.communicate(timeout=10)
+    assert process.returncode != 0
+    assert error.count(b"\n") == 1
+    assert b"node.ini" in error
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_second_signal_changes_nothing(tmp_path: Path, number: signal.Signals) -> None:
+    path, port = settings(tmp_path)
+    process = start(path)
+    try:
+        wait_until(lambda: is_up(port), 10, "readiness answers 503")
+        process.send_signal(number)
+        time.sleep(0.1)
+        process.send_signal(number)
+        output, _ = process.communicate(timeout=_GRACE_S)
+    finally:
+        process.kill()
+    assert process.returncode == 0
+    assert lines(output)[-1]["event"] == 1003
