--- a/src/_masticspoke/model.py
+++ b/src/_masticspoke/model.py
@@ -10,12 +10,12 @@
 from dataclasses import field
 from enum import StrEnum
 from typing import final
-from typing import NamedTuple
 
 
 @final
-class Address(NamedTuple):
-    """An IP address and a TCP port; a tuple, as it is the key of many look-ups."""
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IP address and a TCP port."""
 
     host: str
     port: int
