Count the log lines that a slow reader costs

They were added up and nobody read the sum. The dropped-lines metric has them now, under slow-reader. testing/fleet/test_trail.py failed before (0 counted), passes after.

--- a/src/_masticspoke/fleet/trail.py
+++ b/src/_masticspoke/fleet/trail.py
@@ -33,6 +33,8 @@
 _COLLECT_S = 0.25
 # Bytes that wait for a slow reader at most.
 _MAX_WAITING_BYTES = 262_144
+# Label of lines that a slow reader cost, whatever their importance.
+_SLOW_READER = "slow-reader"
 # Time between two lines that tell how many were dropped, seconds.
 _TELL_DROPPED_S = 1.0
 
@@ -48,7 +50,6 @@
     counts: Counts = field(default_factory=Counts)
     volume: Volume = field(default_factory=Volume)
     waiting: bytearray = field(default_factory=bytearray)
-    lost: int = 0
     told_dropped_at: float = 0.0
 
 
@@ -135,7 +136,8 @@
         del state.waiting[:written]
     if len(state.waiting) > _MAX_WAITING_BYTES:
         cut = state.waiting.rfind(b"\n", 0, _MAX_WAITING_BYTES // 2) + 1
-        state.lost += state.waiting.count(b"\n", 0, cut)
+        lost = state.waiting.count(b"\n", 0, cut)
+        count_dropped(state.counts, _SLOW_READER, lost)
         del state.waiting[:cut]
 
 
