Read the change once more: one piece of code where there were two

- InFlight, the end of a listener's stop and the head of a message were written twice; they serve both HTTP servers, and both ends of HTTP, now.
Waiting for a stop for a while is Lifecycle.stops_within.
- The operator's limits were copied into a class of the server with the same fields; Passed wrapped Streamed; both are gone.
- Counting up to a number of series and summaries stood in metrics/recorder.py already.
- Dead: a second state record, KEYED_PREFIX, Ended.TOO_LATE, NotRun.CRASHES, of_service (now in the test that used it), the set of busy connections that was kept on each request for a test.

--- a/src/_masticspoke/decisions/fleet/members.py
+++ b/src/_masticspoke/decisions/fleet/members.py
@@ -9,7 +9,6 @@
 from zlib import crc32
 
 from _masticspoke.decisions.fleet.model import BackendServer
-from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.model import Address
 
 
@@ -58,15 +57,6 @@
     return changed
 
 
-def of_service(members: Members, service: str) -> tuple[BackendServer, ...]:
-    """Return the backend servers of a service that take new work."""
-    return tuple(
-        server
-        for server in members.by_address.values()
-        if server.service == service and server.phase is Phase.READY
-    )
-
-
 def digest(members: Members) -> int:
     """Return a number that is equal for nodes that know the same; order-free."""
     return sum(
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -153,7 +153,6 @@
     SHED = "shed"
     MOVED = "moved"
     UNREACHABLE = "unreachable"
-    CRASHES = "crashes"
     FORBIDDEN = "forbidden"
 
 
--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -7,7 +7,6 @@
 import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
-from typing import final
 
 from aiohttp import web
 
@@ -16,6 +15,7 @@
 from _masticspoke.entry.malformed import request_factory
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
+from _masticspoke.in_flight import InFlight
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
@@ -31,40 +31,6 @@
 CUT_TIMEOUT_S = 0.15
 
 
-@final
-class _InFlight:
-    """Requests in flight at one listener."""
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
-
-    @property
-    def count(self) -> int:
-        """Requests whose handler runs."""
-        return self._count
-
-    def begin(self) -> None:
-        """Count a request."""
-        self._count += 1
-        self._idle.clear()
-
-    def end(self) -> None:
-        """Count it as ended."""
-        self._count -= 1
-        if self._count == 0:
-            self._idle.set()
-
-    async def wait_idle(self, timeout_s: float) -> None:
-        """Wait until there is none, at most ``timeout_s``."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._idle.wait()
-        except TimeoutError:
-            return
-
-
 def listener(
     address: Address,
     handler: Handler,
@@ -87,7 +53,7 @@
     async def run(life: Lifecycle) -> None:
         if opening is not None:
             await opening()
-        in_flight = _InFlight()
+        in_flight = InFlight()
         server = web.Server(
             _tracked(handler, in_flight, stop),
             access_log=None,
@@ -108,13 +74,9 @@
             await life.stopping()
             stop.begin(clock())
             await site.stop()
-            await serve_queue(queue, server)
-            await asyncio.sleep(min(last_accepted_s, stop.left_s(clock())))
-            # Kept connections are served until the end: ``Server.pre_shutdown`` would
-            # leave them open and drop what arrives on them.
-            await in_flight.wait_idle(stop.left_s(clock()))
-            if in_flight.count:
-                log_event(Event.REQUESTS_CUT, address=address, requests=in_flight.count)
+            await finish(
+                address, queue, server, in_flight, stop, clock, last_accepted_s
+            )
         finally:
             queue.close()
             await runner.cleanup()
@@ -133,8 +95,33 @@
     return listening
 
 
-async def serve_queue(
-    queue: socket.socket, server: Callable[[], asyncio.Protocol]
+async def finish(
+    address: Address,
+    queue: socket.socket,
+    protocol: Callable[[], asyncio.Protocol],
+    in_flight: InFlight,
+    stop: PlannedStop,
+    clock: Clock,
+    last_accepted_s: float,
+) -> None:
+    """End a listener whose socket no longer accepts, within the time of ``stop``.
+
+    Kept connections are served until no request is in flight; requests that outlast
+    the stop are logged.
+
+    :param queue: the listening socket, with the connections no one has accepted.
+    :param protocol: makes the protocol of a connection.
+    """
+    await _serve_queue(queue, protocol)
+    await asyncio.sleep(min(last_accepted_s, stop.left_s(clock())))
+    # ``Server.pre_shutdown`` would leave idle connections open and drop what arrives.
+    await in_flight.wait_idle(stop.left_s(clock()))
+    if in_flight.count:
+        log_event(Event.REQUESTS_CUT, address=address, requests=in_flight.count)
+
+
+async def _serve_queue(
+    queue: socket.socket, protocol: Callable[[], asyncio.Protocol]
 ) -> None:
     """Serve the connections that clients made and no one has accepted yet.
 
@@ -148,10 +135,10 @@
     loop = asyncio.get_running_loop()
     for connection in accepted:
         connection.setblocking(False)
-        await loop.connect_accepted_socket(server, connection)
+        await loop.connect_accepted_socket(protocol, connection)
 
 
-def _tracked(handler: Handler, in_flight: _InFlight, stop: PlannedStop) -> Handler:
+def _tracked(handler: Handler, in_flight: InFlight, stop: PlannedStop) -> Handler:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         in_flight.begin()
         try:
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -56,7 +56,6 @@
 from _masticspoke.http_server import HttpServer
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
-from _masticspoke.http_server import ServerLimits
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -70,18 +69,8 @@
 # Requests on connections accepted just before a socket closed still arrive, seconds.
 _LAST_ACCEPTED_S = 0.15
 
-
 # Limits of requests that no client sends: between nodes, from the platform.
-_OWN_LIMITS = ServerLimits(MAX_LINE_BYTES, MAX_BODY_BYTES, 10.0, 60.0)
-
-
-def _server_limits(limits: Limits) -> ServerLimits:
-    return ServerLimits(
-        limits.header_bytes,
-        limits.body_bytes,
-        limits.header_timeout_s,
-        limits.idle_timeout_s,
-    )
+_OWN_LIMITS = Limits(header_bytes=MAX_LINE_BYTES, body_bytes=MAX_BODY_BYTES)
 
 
 def _boot_clock() -> float:
@@ -269,15 +258,15 @@
         },
     )
 
-    def limits() -> ServerLimits:
-        return _server_limits(limits_of(parts.configuration.value))
+    def limits() -> Limits:
+        return limits_of(parts.configuration.value)
 
     def opened(
         name: str,
         address: Address,
         handler: Handler,
         last_s: float,
-        limits: Callable[[], ServerLimits] = lambda: _OWN_LIMITS,
+        limits: Callable[[], Limits] = lambda: _OWN_LIMITS,
     ) -> ChildSpec:
         server = HttpServer(handler, limits, lambda: parts.stop.under_way)
         body = listening(address, server, parts.stop, time.monotonic, last_s)
--- a/src/_masticspoke/fleet/counts.py
+++ b/src/_masticspoke/fleet/counts.py
@@ -16,14 +16,15 @@
 from _masticspoke.metrics.families import Metric
 from _masticspoke.metrics.families import Sample
 from _masticspoke.metrics.families import Summary
+from _masticspoke.metrics.series import add_bounded
+from _masticspoke.metrics.series import Counters
+from _masticspoke.metrics.series import summary_of
 from _masticspoke.metrics.window import LatencyWindow
 from _masticspoke.supervise.mailbox import Reply
 
 _WINDOW_S = 60.0
-_QUANTILES = (0.5, 0.9, 0.99, 0.999)
 # Series of one metric; routes beyond are counted together.
 _MAX_SERIES = 2_048
-_OTHER = "other"
 
 
 @final
@@ -31,7 +32,7 @@
 class Counts:
     """What has been counted since the start."""
 
-    counters: Counter[tuple[Metric, tuple[str, ...]]] = field(default_factory=Counter)
+    counters: Counters = field(default_factory=Counter)
     latency: dict[tuple[str, str], LatencyWindow] = field(default_factory=dict)
 
 
@@ -81,13 +82,7 @@
 
 
 def _add(counts: Counts, metric: Metric, *labels: str) -> None:
-    key = (metric, labels)
-    counters = counts.counters
-    count = counters.get(key)
-    if count is None and len(counters) >= _MAX_SERIES:
-        key = (metric, (_OTHER,) * len(labels))
-        count = counters.get(key)
-    counters[key] = (count or 0) + 1
+    add_bounded(counts.counters, _MAX_SERIES, metric, labels)
 
 
 def samples(
@@ -97,11 +92,7 @@
     for (metric, labels), count in counts.counters.items():
         yield Sample(metric, labels, count)
     for labels, window in counts.latency.items():
-        found = window.quantiles_s(_QUANTILES, now)
-        quantiles = () if found is None else tuple(zip(_QUANTILES, found, strict=True))
-        yield Summary(
-            Metric.FLEET_LATENCY, labels, quantiles, window.sum_s, window.count
-        )
+        yield summary_of(Metric.FLEET_LATENCY, labels, window, now)
     load = guarded.load
     state: tuple[tuple[str, float], ...] = (
         ("running", load.running),
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/followers.py
@@ -124,9 +124,7 @@
             timeout_s = pause_s if waiting else None
             for server in await inbox.receive(timeout_s):
                 waiting[server.backend] = server
-            records = [
-                keyed_record(str(a), encode_state(s)) for a, s in waiting.items()
-            ]
+            records = [_state_record(server) for server in waiting.values()]
             done = await append(client, SERVERS_STREAM, records)
             if isinstance(done, LogFault):
                 failures += 1
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -21,7 +21,6 @@
 from _masticspoke.fleet.guarding import Answer
 from _masticspoke.fleet.guarding import Broke
 from _masticspoke.fleet.guarding import Declined
-from _masticspoke.fleet.guarding import Passed
 from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.fleet.guarding import Sent
 from _masticspoke.fleet.messages import NoPlace
@@ -31,6 +30,7 @@
 from _masticspoke.fleet.sending import Outlet
 from _masticspoke.fleet.sending import send
 from _masticspoke.fleet.sending import SendPort
+from _masticspoke.http_server import Streamed
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.latest import Latest
@@ -56,7 +56,6 @@
     NOT_READY = "not-ready"
     NO_ROUTE = "no-route"
     REFUSED = "refused"
-    TOO_LATE = "too-late"
     FAILED = "failed"
     EXPIRED = "expired"
 
@@ -131,7 +130,7 @@
         return self.origin is not Origin.CLIENT
 
 
-Result = Answer | Passed | Unanswered
+Result = Answer | Streamed | Unanswered
 
 
 async def conduct(
@@ -146,8 +145,9 @@
         return Unanswered(Ended.NOT_READY, "no-configuration", _RETRY_S)
     route = find_route(configuration, asked.host, asked.path)
     if route is None:
-        _note_end(port, asked, None, Unanswered(Ended.NO_ROUTE, "no-route"), started)
-        return Unanswered(Ended.NO_ROUTE, "no-route")
+        unknown = Unanswered(Ended.NO_ROUTE, "no-route")
+        _note_end(port, asked, None, unknown, started)
+        return unknown
     origin = origin_of(port.send.guard.parents, asked.request_id)
     progress = _Progress(route, started, origin)
     result = await _attempts(port, asked, progress, sent, outlet)
@@ -176,7 +176,7 @@
         job = _job(port, asked, progress)
         result = await send(port.send, job, placed.server, sent, outlet)
         _record(progress, placed.server, result)
-        if isinstance(result, Passed):
+        if isinstance(result, Streamed):
             return result
         if isinstance(result, Answer) and not _worth_repeating(progress, result):
             return result
--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -83,14 +83,6 @@
     let_down: bool = False
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class Passed:
-    """A long answer that was passed on while it arrived; perhaps broken off."""
-
-    response: Streamed
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Declined:
@@ -116,7 +108,7 @@
     expired: bool = False
 
 
-RunResult = Answer | Passed | Declined | Broke
+RunResult = Answer | Streamed | Declined | Broke
 Stream = Callable[[Upstream, CIMultiDict[str]], Awaitable[Streamed]]
 
 
@@ -168,7 +160,7 @@
         if isinstance(result, Answer) and result.status >= _FAILURE:
             let_down = job.request_id in port.parents.let_down
             result = replace(result, let_down=let_down)
-        ran = isinstance(result, Answer | Passed)
+        ran = isinstance(result, Answer | Streamed)
         _note(port, job, result)
         return result
     finally:
@@ -219,7 +211,7 @@
     headers = forwarded(upstream.headers, NO_HEADERS)
     length = upstream.content_length
     if length is not None and length > WHOLE_ANSWER_BYTES:
-        return Passed(await stream(upstream, headers))
+        return await stream(upstream, headers)
     unframed = upstream.ends_with_connection
     body = await upstream.content.read()
     if unframed and upstream.connection.was_reset:
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -28,7 +28,6 @@
 from _masticspoke.fleet.guarding import Declined
 from _masticspoke.fleet.guarding import GuardPort
 from _masticspoke.fleet.guarding import NO_HEADERS
-from _masticspoke.fleet.guarding import Passed
 from _masticspoke.fleet.guarding import run_job
 from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.fleet.guarding import Sent
@@ -110,8 +109,8 @@
 
 
 def _response(guard: GuardPort, result: RunResult) -> Response | Streamed:
-    if isinstance(result, Passed):
-        return result.response
+    if isinstance(result, Streamed):
+        return result
     if isinstance(result, Answer):
         headers = result.headers.copy()
         headers[GUARD_HEADER] = encode_guard(_said(guard, result))
--- a/src/_masticspoke/fleet/listening.py
+++ b/src/_masticspoke/fleet/listening.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
+from _masticspoke.entry.listener import finish
 from _masticspoke.entry.listener import open_socket
-from _masticspoke.entry.listener import serve_queue
-from _masticspoke.events import Event
-from _masticspoke.events import log_event
 from _masticspoke.http_server import HttpServer
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -45,13 +42,9 @@
             await _sweep(server, life)
             stop.begin(clock())
             accepting.close()
-            await serve_queue(queue, server)
-            await asyncio.sleep(min(last_accepted_s, stop.left_s(clock())))
-            await server.wait_idle(stop.left_s(clock()))
-            if server.in_flight:
-                log_event(
-                    Event.REQUESTS_CUT, address=address, requests=server.in_flight
-                )
+            await finish(
+                address, queue, server, server.in_flight, stop, clock, last_accepted_s
+            )
         finally:
             queue.close()
             accepting.close()
@@ -63,8 +56,5 @@
 async def _sweep(server: HttpServer, life: Lifecycle) -> None:
     """Close connections beyond the limits until the stop begins."""
     loop = asyncio.get_running_loop()
-    while not life.is_stopping:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_SWEEP_S):
-                await life.stopping()
+    while not await life.stops_within(_SWEEP_S):
         server.sweep(loop.time())
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -25,7 +25,6 @@
 from _masticspoke.fleet.guarding import Declined
 from _masticspoke.fleet.guarding import GuardPort
 from _masticspoke.fleet.guarding import NO_HEADERS
-from _masticspoke.fleet.guarding import Passed
 from _masticspoke.fleet.guarding import run_job
 from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.fleet.guarding import Sent
@@ -192,7 +191,7 @@
         return Broke(detail, expired=detail == "deadline")
     headers = forwarded(upstream.headers, NO_HEADERS)
     if (upstream.content_length or 0) > WHOLE_ANSWER_BYTES:
-        return Passed(await outlet.pass_on(upstream, headers))
+        return await outlet.pass_on(upstream, headers)
     body = await upstream.content.read()
     return Answer(upstream.status, headers, body, guard.let_down)
 
--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -18,6 +17,7 @@
 import aiohttp
 from multidict import CIMultiDictProxy
 
+from _masticspoke.border.http_head import encode_head
 from _masticspoke.connections import CheckedHandler
 from _masticspoke.connections import KEEP_IDLE_S
 from _masticspoke.connections import MAX_LINE_BYTES
@@ -157,18 +157,12 @@
         self._keep = keep
         self._echo_header = echo_header
         self._idle: dict[Address, list[tuple[CheckedHandler, float]]] = {}
-        self._busy: set[CheckedHandler] = set()
 
     @property
     def echo_header(self) -> str:
         """Request header that the right answer repeats; empty if none does."""
         return self._echo_header
 
-    @property
-    def busy(self) -> frozenset[CheckedHandler]:
-        """Connections with a request under way."""
-        return frozenset(self._busy)
-
     def request(
         self,
         address: Address,
@@ -197,8 +191,7 @@
         """
         connection = self._take(address)
         if connection is None:  # a connection without an answer counts as false
-            connection = await self._connect(address, within_s)
-        self._busy.add(connection)
+            return await self._connect(address, within_s)
         return connection
 
     def _take(self, address: Address) -> CheckedHandler | None:
@@ -233,7 +226,6 @@
         self, address: Address, connection: CheckedHandler, whole: bool
     ) -> None:
         """Keep a connection whose answer was read to its end; break any other."""
-        self._busy.discard(connection)
         if not (whole and self._keep and connection.is_connected()):
             connection.abort()
             return
@@ -281,12 +273,9 @@
 
 
 def _head(asked: _Asked) -> bytes:
-    lines = [f"{asked.method} {asked.target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in asked.headers.items()]
-    if asked.body or asked.method in _WITH_LENGTH:
-        lines.append(f"Content-Length: {len(asked.body)}")
-    lines.append("\r\n")
-    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+    start = f"{asked.method} {asked.target} HTTP/1.1"
+    sized = asked.body or asked.method in _WITH_LENGTH
+    return encode_head(start, asked.headers, len(asked.body) if sized else None)
 
 
 def pool_owner(pool: HttpPool) -> ChildBody:
@@ -295,11 +284,8 @@
     async def run(life: Lifecycle) -> None:
         life.mark_started()
         try:
-            while not life.is_stopping:
+            while not await life.stops_within(_SWEEP_S):
                 pool.close_idle(KEEP_IDLE_S)
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_SWEEP_S):
-                        await life.stopping()
         finally:
             pool.close_idle(0.0)
 
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -28,10 +28,13 @@
 from loguru import logger
 from multidict import CIMultiDictProxy
 
+from _masticspoke.border.http_head import encode_head
 from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.connections import READ_BUFFER_BYTES
+from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
+from _masticspoke.in_flight import InFlight
 
 # Requests of one connection that wait behind the one in hand before reading pauses.
 _MAX_PIPELINED = 8
@@ -75,20 +78,6 @@
     """The answer was passed on while it arrived."""
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """What a client may send, and how long it may take or stay idle.
-
-    :param head_bytes: names and values of all headers.
-    """
-
-    head_bytes: int
-    body_bytes: int
-    head_timeout_s: float
-    idle_timeout_s: float
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -157,19 +146,17 @@
     def __init__(
         self,
         handler: Handler,
-        limits: Callable[[], ServerLimits],
+        limits: Callable[[], Limits],
         leaving: Callable[[], bool],
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._is_leaving = leaving
         self._connections: set[ServerConnection] = set()
-        self._in_flight = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._in_flight = InFlight()
 
     @property
-    def in_flight(self) -> int:
+    def in_flight(self) -> InFlight:
         """Requests whose answer is not written yet."""
         return self._in_flight
 
@@ -179,7 +166,7 @@
         return self._is_leaving()
 
     @property
-    def limits(self) -> ServerLimits:
+    def limits(self) -> Limits:
         """The limits in force."""
         return self._limits()
 
@@ -195,23 +182,6 @@
         """Forget a connection that was lost."""
         self._connections.discard(connection)
 
-    def begin(self) -> None:
-        """Count a request in flight."""
-        self._in_flight += 1
-        self._idle.clear()
-
-    def end(self) -> None:
-        """Count it as ended."""
-        self._in_flight -= 1
-        if self._in_flight == 0:
-            self._idle.set()
-
-    async def wait_idle(self, timeout_s: float) -> None:
-        """Wait until no request is in flight, at most ``timeout_s``."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await self._idle.wait()
-
     def close(self) -> None:
         """Close all connections; requests in flight are cut."""
         for connection in tuple(self._connections):
@@ -327,14 +297,14 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    def check(self, limits: ServerLimits, now: float) -> None:
+    def check(self, limits: Limits, now: float) -> None:
         """Close the connection if it is idle or slow beyond the limits."""
         if self._queue or self._idle_since is None:
             return
         if self._head_since is None:
             if now - self._idle_since > limits.idle_timeout_s:
                 self.close()
-        elif now - self._head_since > limits.head_timeout_s:
+        elif now - self._head_since > limits.header_timeout_s:
             self._write(Response(408), closes=True)
             self.close()
 
@@ -375,7 +345,7 @@
             self._write(Response(400), closes=True)
             return True
         head, content = message
-        self._server.begin()
+        self._server.in_flight.begin()
         try:
             request = Request(head.method, head.path, head.headers, content, self)
             response = await self._respond(head, request)
@@ -387,7 +357,7 @@
                 self._write(response, closes or early, bodiless)
                 await self._drain_helper()
         finally:
-            self._server.end()
+            self._server.in_flight.end()
         if early:
             await self._linger(content)
         return closes or early
@@ -398,7 +368,7 @@
         if "Expect" in head.headers and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._received > _SHORT_HEAD_BYTES:
-            limit = self._server.limits.head_bytes
+            limit = self._server.limits.header_bytes
             if sum(len(name) + len(value) for name, value in head.raw_headers) > limit:
                 return Response(431)
         try:
@@ -453,11 +423,5 @@
 def _head(
     status: int, headers: Mapping[str, str], length: int | None, closes: bool
 ) -> bytes:
-    lines = [f"HTTP/1.1 {status} {_REASONS.get(status, '')}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    if length is not None:
-        lines.append(f"Content-Length: {length}")
-    if closes:
-        lines.append("Connection: close")
-    lines.append("\r\n")
-    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+    start = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
+    return encode_head(start, headers, length, closes)
--- a/src/_masticspoke/metrics/recorder.py
+++ b/src/_masticspoke/metrics/recorder.py
@@ -19,6 +19,10 @@
 from _masticspoke.metrics.families import Metric
 from _masticspoke.metrics.families import Sample
 from _masticspoke.metrics.families import Summary
+from _masticspoke.metrics.series import add_bounded
+from _masticspoke.metrics.series import Counters
+from _masticspoke.metrics.series import OTHER
+from _masticspoke.metrics.series import summary_of
 from _masticspoke.metrics.window import LatencyWindow
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
@@ -30,10 +34,8 @@
 
 MAX_SERIES = 4_096
 MAX_CLASSES = 32
-OTHER = "other"
 _UNKNOWN = "unknown"
 _WINDOW_S = 60.0
-_QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
 @final
@@ -60,7 +62,7 @@
 @dataclass(slots=True)
 class _RecorderState:
     mailboxes: Mailboxes
-    counters: Counter[tuple[Metric, tuple[str, ...]]] = field(default_factory=Counter)
+    counters: Counters = field(default_factory=Counter)
     latency: dict[tuple[Port, str], LatencyWindow] = field(default_factory=dict)
     added: dict[Port, LatencyWindow] = field(default_factory=dict)
     class_names: dict[int, str] = field(default_factory=dict)
@@ -134,10 +136,7 @@
 def _count(
     state: _RecorderState, metric: Metric, *labels: str, amount: int = 1
 ) -> None:
-    key = (metric, labels)
-    if key not in state.counters and len(state.counters) >= MAX_SERIES:
-        key = (metric, (OTHER,) * len(labels))
-    state.counters[key] += amount
+    add_bounded(state.counters, MAX_SERIES, metric, labels, amount)
 
 
 def _event_logged(state: _RecorderState, message: EventLogged, now: float) -> None:
@@ -168,23 +167,15 @@
     ):
         yield Sample(metric, labels, value)
     for (port, class_name), window in state.latency.items():
-        yield _summary(Metric.LATENCY, (port.value, class_name), window, now)
+        yield summary_of(Metric.LATENCY, (port.value, class_name), window, now)
     for port, window in state.added.items():
-        yield _summary(Metric.ADDED_LATENCY, (port.value,), window, now)
+        yield summary_of(Metric.ADDED_LATENCY, (port.value,), window, now)
     for name, mailbox in state.mailboxes.items():
         yield Sample(Metric.MAILBOX_FULL, (name,), mailbox.refused)
         yield Sample(Metric.MAILBOX_DEPTH, (name,), mailbox.depth)
     yield Sample(Metric.CATALOGUE_VERSION, (), state.catalogue_version)
 
 
-def _summary(
-    metric: Metric, labels: tuple[str, ...], window: LatencyWindow, now: float
-) -> Summary:
-    values = window.quantiles_s(_QUANTILES, now)
-    quantiles = () if values is None else tuple(zip(_QUANTILES, values, strict=True))
-    return Summary(metric, labels, quantiles, window.sum_s, window.count)
-
-
 _HANDLERS: Handlers[_RecorderState] = {
     RequestEnded: _request_ended,
     EventLogged: _event_logged,
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -12,7 +12,6 @@
 from _masticspoke.fleet.front import Ended
 from _masticspoke.fleet.front import FrontPort
 from _masticspoke.fleet.front import Unanswered
-from _masticspoke.fleet.guarding import Passed
 from _masticspoke.fleet.guarding import Sent
 from _masticspoke.fleet.sending import Outlet
 from _masticspoke.http_server import Handler
@@ -31,7 +30,6 @@
     Ended.NOT_READY: 503,
     Ended.NO_ROUTE: 404,
     Ended.REFUSED: 503,
-    Ended.TOO_LATE: 503,
     Ended.FAILED: 502,
     Ended.EXPIRED: 504,
 }
@@ -53,8 +51,8 @@
         result = await conduct(port, _asked(request), sent, Outlet(request), started)
         if isinstance(result, Unanswered):
             return _unanswered(result)
-        if isinstance(result, Passed):
-            return result.response
+        if isinstance(result, Streamed):
+            return result
         return Response(result.status, result.headers, result.body)
 
     return handle
--- a/src/_masticspoke/platform/log.py
+++ b/src/_masticspoke/platform/log.py
@@ -19,8 +19,6 @@
 from _masticspoke.messages.control import LogRecord
 from _masticspoke.model import Address
 
-# Topics of this name keep the newest record of each key for ever.
-KEYED_PREFIX = "keyed."
 _PART = "0"
 _LENGTH = struct.Struct(">I")
 _RANGE = struct.Struct(">QQ")
--- a/src/_masticspoke/supervise/lifecycle.py
+++ b/src/_masticspoke/supervise/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import final
@@ -37,5 +38,12 @@
         """Wait until the child is asked to stop."""
         await self._stopping.wait()
 
+    async def stops_within(self, timeout_s: float) -> bool:
+        """Wait up to ``timeout_s``; return whether the child is asked to stop."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._stopping.wait()
+        return self.is_stopping
+
 
 ChildBody = Callable[[Lifecycle], Awaitable[None]]
--- a/testing/decisions/fleet/test_members.py
+++ b/testing/decisions/fleet/test_members.py
@@ -9,7 +9,6 @@
 from _masticspoke.decisions.fleet.members import digest
 from _masticspoke.decisions.fleet.members import learn
 from _masticspoke.decisions.fleet.members import Members
-from _masticspoke.decisions.fleet.members import of_service
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 
@@ -28,6 +27,15 @@
 )
 
 
+def of_service(members: Members, service: str) -> tuple[BackendServer, ...]:
+    """Return the backend servers of a service that take new work."""
+    return tuple(
+        server
+        for server in members.by_address.values()
+        if server.service == service and server.phase is Phase.READY
+    )
+
+
 @given(st.lists(STATES, max_size=5))
 def test_order_of_arrival_does_not_matter(states: list[BackendServer]) -> None:
     results = set()
--- a/testing/fleet/platform_fleet.py
+++ b/testing/fleet/platform_fleet.py
@@ -19,6 +19,7 @@
 from testing.standins.log_service import application
 from testing.standins.log_service import LogService
 from testing.standins.platform_backend import PlatformBackend
+from testing.standins.platform_operator import COLUMNS
 
 from _masticspoke.decisions.fleet.budget import BudgetBounds
 from _masticspoke.fleet.parts import FleetParts
@@ -65,21 +66,9 @@
     def publish(self, *rows: list[object]) -> None:
         """Publish a configuration; each row is a route."""
         self.version += 10
-        columns = [
-            "name",
-            "host",
-            "path_prefix",
-            "route_kind",
-            "timeout_ms",
-            "target_latency_ms",
-            "priority",
-            "weighted_clusters",
-            "max_attempts",
-            "service",
-        ]
         value = {
             "version": self.version,
-            "routes": {"columns": columns, "rows": list(rows)},
+            "routes": {"columns": COLUMNS, "rows": list(rows)},
             "services": {"columns": ["name", "health_check_path"], "rows": []},
             "limits": {"max_body_bytes": 65536},
         }
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -11,7 +11,9 @@
 from testing.fleet.platform_fleet import until
 
 from _masticspoke.border.hop import decode_guard
+from _masticspoke.connections import CheckedHandler
 from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.model import Address
 
 READ = ["read", "shop.example", "/read/", "idempotent", 1500, 800, 1, None, 2, "desk"]
 BOOK = [
@@ -232,12 +234,16 @@
     play(tmp_path, past_the_log)
 
 
-def test_lost_answer_of_a_booking_is_fetched_from_its_guard(tmp_path: Path) -> None:
+def test_lost_answer_of_a_booking_is_fetched_from_its_guard(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def scenario(fleet: PlatformFleet) -> None:
         entry, first, second = await two_desks(fleet, run_s=0.3)
+        lent = watch_hops(entry, monkeypatch)
         asked = asyncio.create_task(fleet.ask(entry, "/book/1", "POST", body=b"x"))
         await until(lambda: len(arrivals(first, second)) == 1)
-        cut_hops(entry)
+        for connection in lent:
+            connection.abort()
         status, body, _ = await asked
 
         assert status == 200
@@ -246,10 +252,17 @@
     play(tmp_path, scenario)
 
 
-def cut_hops(node: Node) -> None:
-    """Break the connections from a node to others."""
-    for connection in node.parts.nodes.busy:
-        connection.abort()
+def watch_hops(node: Node, monkeypatch: pytest.MonkeyPatch) -> list[CheckedHandler]:
+    """Return the connections that the node uses for requests to others from now on."""
+    lent: list[CheckedHandler] = []
+    lend = node.parts.nodes.lend
+
+    async def watched(address: Address, within_s: float | None) -> CheckedHandler:
+        lent.append(await lend(address, within_s))
+        return lent[-1]
+
+    monkeypatch.setattr(node.parts.nodes, "lend", watched)
+    return lent
 
 
 def test_planned_stop_cuts_no_request(tmp_path: Path) -> None:
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -5,22 +5,11 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from testing.standins.platform_operator import COLUMNS
 
 from _masticspoke.decisions.fleet.model import Share
 from _masticspoke.platform.configuration import decode_configuration
 
-COLUMNS = [
-    "name",
-    "host",
-    "path_prefix",
-    "route_kind",
-    "timeout_ms",
-    "target_latency_ms",
-    "priority",
-    "weighted_clusters",
-    "max_attempts",
-    "service",
-]
 SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
 ROWS = [
     ["r1", "H1.example", "/a/", "idempotent", 1200, 1500, 1, SPLIT, 2, None],
--- a/testing/test_http_server.py
+++ b/testing/test_http_server.py
@@ -13,14 +13,14 @@
 import pytest
 from aiohttp import StreamReader
 
+from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.http_server import HttpServer
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
-from _masticspoke.http_server import ServerLimits
 from _masticspoke.http_server import Streamed
 
 _TIMEOUT_S = 5.0
-LIMITS = ServerLimits(2_000, 1_000, head_timeout_s=0.2, idle_timeout_s=0.5)
+LIMITS = Limits(2_000, 1_000, header_timeout_s=0.2, idle_timeout_s=0.5)
 HOST = b"Host: h\r\n"
 
 
@@ -203,10 +203,10 @@
         writer.write(get(b"/slow"))
         while not found.seen.paths:
             await asyncio.sleep(0.01)
-        assert found.server.in_flight == 1
+        assert found.server.in_flight.count == 1
         writer.close()
-        await found.server.wait_idle(1.0)
-        assert (found.server.in_flight, found.seen.cancelled) == (0, 1)
+        await found.server.in_flight.wait_idle(1.0)
+        assert (found.server.in_flight.count, found.seen.cancelled) == (0, 1)
 
     play(scenario)
 
