Name the topic of the nodes in the adapter

The prefix that makes the log keep the newest record of each key is the platform's; it stood in border/backend_state.py. It comes with the dialect now, as the configuration's stream does. testing/fleet, docs, platform, border, shape: passed.

--- a/src/_masticspoke/border/backend_state.py
+++ b/src/_masticspoke/border/backend_state.py
@@ -9,8 +9,6 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 
-SERVERS_STREAM = "keyed.masticspoke-servers"
-
 
 def state_object(server: BackendServer) -> list[Any]:
     """Return a state as a list that JSON can hold."""
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -9,7 +9,6 @@
 from random import Random
 
 from _masticspoke.border.backend_state import decode_state
-from _masticspoke.border.backend_state import SERVERS_STREAM
 from _masticspoke.border.exposition import encode_metrics
 from _masticspoke.border.exposition import EXPOSITION_TYPE
 from _masticspoke.border.hop import FATE_PATH
@@ -105,11 +104,17 @@
         parts.registry,
         parts.to_log,
         settings.log,
-        SERVERS_STREAM,
+        parts.dialect.servers_stream,
         _GATHER_STATES_S,
         _on_states(parts),
     )
-    writer = states_writer(parts.unsaved, parts.registry, parts.to_log, settings.log)
+    writer = states_writer(
+        parts.unsaved,
+        parts.registry,
+        parts.to_log,
+        settings.log,
+        parts.dialect.servers_stream,
+    )
     children = (
         ChildSpec("log_connections", connection_owner(parts.to_log, CONNECT_TIMEOUT_S)),
         ChildSpec("registry", keeper),
--- a/src/_masticspoke/fleet/dialect.py
+++ b/src/_masticspoke/fleet/dialect.py
@@ -29,6 +29,7 @@
         it did not run the request, ``None`` if it did.
     :param read_health: from status and headers of a health answer; the instance that
         takes work, ``None`` if it takes none.
+    :param servers_stream: keyed stream of the log that the nodes write.
     :param configuration_stream: keyed stream of the log that the operator writes.
     :param configuration_key: key of the newest configuration in it.
     :param decode_configuration: ``None`` when it can't be read.
@@ -38,6 +39,7 @@
     set_backend_headers: SetBackendHeaders
     read_not_run: ReadNotRun
     read_health: ReadHealth
+    servers_stream: str
     configuration_stream: str
     configuration_key: str
     decode_configuration: Callable[[bytes], Configuration | None]
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/followers.py
@@ -8,7 +8,6 @@
 from random import Random
 
 from _masticspoke.border.backend_state import encode_state
-from _masticspoke.border.backend_state import SERVERS_STREAM
 from _masticspoke.connections import Connections
 from _masticspoke.decisions.backoff import pause_after
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -106,6 +105,7 @@
     registry: Mailbox[RegistryMessage],
     connections: Connections,
     log: Address,
+    stream: str,
 ) -> ChildBody:
     """Return the body of the task that keeps states of the own backend server.
 
@@ -125,7 +125,7 @@
             for server in await inbox.receive(timeout_s):
                 waiting[server.backend] = server
             records = [_state_record(server) for server in waiting.values()]
-            done = await append(client, SERVERS_STREAM, records)
+            done = await append(client, stream, records)
             if isinstance(done, LogFault):
                 failures += 1
                 registry.tell(StoreHealth("writer", done.value))
--- a/src/_masticspoke/platform/names.py
+++ b/src/_masticspoke/platform/names.py
@@ -22,6 +22,8 @@
 
 CONFIGURATION_STREAM = "keyed.op"
 CONFIGURATION_KEY = "config"
+# A topic of our own; the prefix makes the log keep the newest record of each key.
+SERVERS_STREAM = "keyed.masticspoke-servers"
 
 READINESS_PATH = "/readiness"
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
--- a/src/_masticspoke/platform/node.py
+++ b/src/_masticspoke/platform/node.py
@@ -23,6 +23,7 @@
 from _masticspoke.platform.names import CONFIGURATION_KEY
 from _masticspoke.platform.names import CONFIGURATION_STREAM
 from _masticspoke.platform.names import REQUEST_ID
+from _masticspoke.platform.names import SERVERS_STREAM
 from _masticspoke.platform.settings import load_fleet_settings
 from _masticspoke.supervise.lifecycle import ChildBody
 
@@ -31,6 +32,7 @@
     set_backend_headers=set_backend_headers,
     read_not_run=read_not_run,
     read_health=read_health,
+    servers_stream=SERVERS_STREAM,
     configuration_stream=CONFIGURATION_STREAM,
     configuration_key=CONFIGURATION_KEY,
     decode_configuration=decode_configuration,
