Tests: each process holds its block of ports

Change: a process keeps the first port of its block bound until it ends, and takes the next block if that one is held.

Result: test_processes_beside_each_other_take_no_common_port failed before (three processes with the same id, one block), passes.

--- a/testing/live/fleet.py
+++ b/testing/live/fleet.py
@@ -27,14 +27,33 @@
 PORTS_PER_BLOCK = 500
 
 
-def _candidate_ports() -> Iterator[int]:
-    """Yield ports of this process's block in turn, without end.
+def _hold_block() -> tuple[socket.socket, int]:
+    """Return the first port of a block that no other process uses.
+
+    Each process keeps the first port of its block bound until it ends, so that test
+    runs beside each other never meet. All blocks are below the ports that the system
+    gives to outgoing connections.
 
-    All blocks are below the ports that the system gives to outgoing connections.
+    :raises RuntimeError: when all blocks are in use.
     """
-    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
-    while True:
-        yield from range(first, first + PORTS_PER_BLOCK)
+    for number in range(PORT_BLOCKS):
+        first = FIRST_PORT + (os.getpid() + number) % PORT_BLOCKS * PORTS_PER_BLOCK
+        holder = socket.socket()
+        try:
+            holder.bind(("127.0.0.1", first))
+        except OSError:
+            holder.close()
+        else:
+            return holder, first
+    raise RuntimeError(f"all {PORT_BLOCKS} blocks of ports are in use")
+
+
+def _candidate_ports() -> Iterator[int]:
+    """Yield ports of this process's block in turn, without end."""
+    holder, first = _hold_block()
+    with holder:
+        while True:
+            yield from range(first + 1, first + PORTS_PER_BLOCK)
 
 
 _PORTS = _candidate_ports()
