A stopping node refuses what it can't answer before the stop ends

Requests that came late in the grace were taken, passed on to a backend server and cut with no answer when the stop ended, bookings among them (a report from another operator; it happens here).

Cause: listeners stay open while requests run, each kept connection gets one more request, and nothing compared the time of a request with what is left of the stop. A second cause: a request that began between the end of the last one and the turn of the draining task was cut at once, at both front ends.

Change: the placer owns smoothed answer times by route. While the node stops, a request whose mean time and three mean deviations exceed what is left is refused with reason stopping and a Retry-After; the deadline of one that is sent lies before the end of the stop. Draining looks again before it closes.

At the own front end the time left is not compared yet.

--- a/src/_masticspoke/decisions/fleet/explanation.py
+++ b/src/_masticspoke/decisions/fleet/explanation.py
@@ -24,6 +24,7 @@
     " tried; look at the events 4102 of the entry node for the reasons",
     "no-server": "refused: the entry node had no backend server of the service",
     "no-configuration": "refused: the entry node had no configuration yet",
+    "stopping": "refused: its node was stopping and had too little time left for it",
     "budget-spent": "failed: the retry budget was spent after a first failure",
     "broke": "failed with unknown outcome: the run ended without an answer; look at the"
     " backend server and at event 4004 of its node",
--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -124,7 +124,9 @@
     await asyncio.sleep(min(last_requests_wait_s, stop.left_s(clock())))
     # ``Server.pre_shutdown`` isn't used: it would leave idle connections open and drop
     # the requests that arrive on them.
-    await in_flight.wait_idle(stop.left_s(clock()))
+    # A request may have begun between the end of the last one and this task's turn.
+    while in_flight.count and (left_s := stop.left_s(clock())) > 0:
+        await in_flight.wait_idle(left_s)
     if in_flight.count:
         log_event(Event.REQUESTS_CUT, address=address, requests=in_flight.count)
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -245,7 +245,7 @@
         settings.nodes.port,
         _boot_clock,
     )
-    return FrontPort(parts.configuration, send, parts.service)
+    return FrontPort(parts.configuration, send, parts.service, parts.stop)
 
 
 def metrics_handler(parts: FleetParts) -> Handler:
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -21,6 +21,7 @@
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.model import Route
 from _masticspoke.decisions.fleet.routing import find_route
+from _masticspoke.decisions.fleet.stopping import latest_deadline
 from _masticspoke.events import Event
 from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.guarding import Answer
@@ -39,6 +40,7 @@
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.planned_stop import PlannedStop
 
 # A request is given up after this many of its sends were declined.
 MAX_DECLINED = 3
@@ -107,6 +109,7 @@
     configuration: Latest[Configuration | None]
     send: SendPort
     service: Latest[str]
+    stop: PlannedStop
 
 
 @final
@@ -220,6 +223,7 @@
         progress.tried,
         progress.sends_arrived > 0,
         progress.origin is Origin.RETRIED_RUN,
+        port.stop.remaining_s(port.send.guard.clock()),
         reply,
     )
     busy = NoPlacement(progress.service or "", "placer-busy")
@@ -233,6 +237,8 @@
         if incoming.caller_timeout_s is None
         else incoming.caller_timeout_s
     )
+    deadline = progress.received_at + min(caller_timeout_s, route.timeout_s)
+    now = port.send.guard.clock()
     return Job(
         request_id=incoming.request_id,
         route=route.name,
@@ -243,7 +249,7 @@
         nested=progress.nested,
         is_retry=progress.sends_arrived > 0 or progress.origin is Origin.RETRIED_RUN,
         objective_at=progress.received_at + route.objective_s,
-        deadline=progress.received_at + min(caller_timeout_s, route.timeout_s),
+        deadline=latest_deadline(deadline, now, port.stop.remaining_s(now)),
     )
 
 
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -32,6 +32,8 @@
     :param tried: servers that the request has been sent to.
     :param is_retry: whether an earlier send may have reached a backend server.
     :param parent_is_retry: whether the run that made the request is a retry.
+    :param stop_left_s: seconds until the end of this node's planned stop; ``None`` if
+        it isn't stopping.
     """
 
     route: Route
@@ -39,6 +41,7 @@
     tried: Collection[Address]
     is_retry: bool
     parent_is_retry: bool
+    stop_left_s: float | None
     reply: Reply[Placement | NoPlacement]
 
 
@@ -72,6 +75,8 @@
     :param load: load that the server's guard reported; ``None`` if it reported none.
     :param not_run: why the request was declined; ``None`` if it was not.
     :param nested: whether a run at the local backend server made the request.
+    :param answered_after_s: seconds from the send until its answer; ``None`` without
+        one.
     """
 
     address: Address
@@ -80,6 +85,8 @@
     not_run: NotRun | None
     service: str
     nested: bool
+    route: str
+    answered_after_s: float | None
 
 
 @final
--- a/src/_masticspoke/fleet/placer.py
+++ b/src/_masticspoke/fleet/placer.py
@@ -27,6 +27,9 @@
 from _masticspoke.decisions.fleet.placing import reset_stats
 from _masticspoke.decisions.fleet.routing import choose_service
 from _masticspoke.decisions.fleet.routing import RouteCounts
+from _masticspoke.decisions.fleet.stopping import AnswerTimes
+from _masticspoke.decisions.fleet.stopping import ends_in_time
+from _masticspoke.decisions.fleet.stopping import record_answer
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.event_record import EventRecord
@@ -74,6 +77,7 @@
     ready_by_service: dict[str, tuple[BackendServer, ...]] = field(default_factory=dict)
     node_count: int = 1
     last_called_at: dict[str, float] = field(default_factory=dict)
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     pressure_reported_at: float = 0.0
 
 
@@ -111,7 +115,13 @@
 
 
 def _place_request(state: PlacerState, message: PlaceRequest, now: float) -> None:
-    service = message.service or choose_service(state.route_counts, message.route)
+    route = message.route
+    service = message.service or choose_service(state.route_counts, route)
+    if not ends_in_time(
+        state.answer_times, route.name, route.objective_s, message.stop_left_s
+    ):
+        message.reply.answer(NoPlacement(service, "stopping"))
+        return
     servers = state.ready_by_service.get(service, ())
     server = choose(state.placing, servers, message.tried, now, state.random)
     if server is None:
@@ -133,6 +143,8 @@
 
 def _send_ended(state: PlacerState, message: SendEnded, now: float) -> None:
     record_end(state.placing, message.address, message.failed, message.load, now)
+    if message.answered_after_s is not None:
+        record_answer(state.answer_times, message.route, message.answered_after_s)
     if message.not_run is not None and record_unusable(
         state.placing, message.address, message.not_run, now
     ):
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -273,6 +273,12 @@
         not_run=result.reason if isinstance(result, Declined) else None,
         service=attempt.job.service,
         nested=attempt.job.nested,
+        route=attempt.job.route,
+        answered_after_s=(
+            attempt.port.boot_clock() - attempt.sent_at
+            if isinstance(result, Answer | Streamed)
+            else None
+        ),
     )
 
 
--- a/src/_masticspoke/supervise/planned_stop.py
+++ b/src/_masticspoke/supervise/planned_stop.py
@@ -27,6 +27,10 @@
         if self._deadline is None:
             self._deadline = now + self._timeout_s
 
+    def remaining_s(self, now: float) -> float | None:
+        """Return :meth:`left_s`, or ``None`` if the node isn't stopping."""
+        return None if self._deadline is None else self.left_s(now)
+
     def left_s(self, now: float) -> float:
         """Return the seconds that remain for requests in flight, at least 0.
 
--- a/testing/entry/test_listener.py
+++ b/testing/entry/test_listener.py
@@ -11,7 +11,10 @@
 from aiohttp import web
 from testing.live.fleet import free_port
 
+from _masticspoke.entry.listener import drain
 from _masticspoke.entry.listener import listener
+from _masticspoke.entry.listener import open_socket
+from _masticspoke.in_flight import InFlight
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.planned_stop import PlannedStop
@@ -96,3 +99,32 @@
         await slow
 
     asyncio.run(_with_listener(scenario))
+
+
+def test_request_that_begins_while_the_last_one_ends_is_waited_for() -> None:
+    async def scenario() -> None:
+        address = Address("127.0.0.1", free_port())
+        stop = PlannedStop(_STOP_S)
+        stop.begin(time.monotonic())
+        in_flight = InFlight()
+        in_flight.begin()
+        draining = asyncio.create_task(
+            drain(
+                address,
+                open_socket(address),
+                asyncio.Protocol,
+                in_flight,
+                stop,
+                time.monotonic,
+                0.0,
+            )
+        )
+        await asyncio.sleep(0.05)
+        in_flight.end()
+        in_flight.begin()
+        await asyncio.sleep(0.05)
+        assert not draining.done()
+        in_flight.end()
+        await asyncio.wait_for(draining, 1.0)
+
+    asyncio.run(scenario())
