Decisions on the platform use the boot clock

Cause: gate, placer, run recorder and the planned stop took time.monotonic, which stands still while a VM is suspended: a request that waited at the gate through ten seconds still ran afterwards, a booking among them. The pool measured the idle time of connections with the event loop's clock.

Change: one boot clock for all decisions of a fleet's node and for idle connections. A suspended VM only waits longer in timers, which then look at the boot clock.

--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -1,7 +1,7 @@
 """Data classes for routes, backend servers, and the requests sent to them.
 
 A guard is the admission control of a node for its local backend server. Points in time
-are seconds on the local monotonic clock; names ending in ``_ms`` are Unix time in
+are seconds on the VM's boot clock; names ending in ``_ms`` are Unix time in
 milliseconds.
 """
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -58,6 +58,7 @@
 from _masticspoke.http_server import Response
 from _masticspoke.model import Address
 from _masticspoke.supervise.ask import ask
+from _masticspoke.supervise.clocks import boot_clock
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.supervisor import ChildSpec
@@ -78,15 +79,11 @@
 _INTERNAL_LIMITS = Limits(header_bytes=MAX_LINE_BYTES, body_bytes=MAX_BODY_BYTES)
 
 
-def _boot_clock() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def reporting_branch(parts: FleetParts) -> ChildBody:
     """Return the supervisor of the trail."""
     write = nonblocking_writer(sys.stdout.fileno())
-    body = trail(parts.trail, parts.settings.name, time.monotonic, time.time, write)
-    return supervisor("reporting", (ChildSpec("trail", body),), time.monotonic)
+    body = trail(parts.trail, parts.settings.name, boot_clock, time.time, write)
+    return supervisor("reporting", (ChildSpec("trail", body),), boot_clock)
 
 
 def knowledge_branch(parts: FleetParts) -> ChildBody:
@@ -100,7 +97,7 @@
         parts.registry_state,
         registry_port,
         settings.backend,
-        time.monotonic,
+        boot_clock,
     )
     configuration_follower = keyed_follower(
         parts.registry,
@@ -135,7 +132,7 @@
         ChildSpec("states_writer", writer),
         ChildSpec("sync", sync_task(sync_port(parts), Random())),
     )
-    return supervisor("knowledge", children, time.monotonic)
+    return supervisor("knowledge", children, boot_clock)
 
 
 def _on_configuration(parts: FleetParts) -> OnValues:
@@ -185,14 +182,14 @@
 
 def dispatch_branch(parts: FleetParts) -> ChildBody:
     """Return the supervisor of the placer and the connections to other nodes."""
-    placer_body = placer(parts.placer, parts.placer_state, time.monotonic)
+    placer_body = placer(parts.placer, parts.placer_state, boot_clock)
     peers_owner = connection_owner(parts.peer_connections, CONNECT_TIMEOUT_S)
     children = (
         ChildSpec("peer_connections", peers_owner, _CLOSE_TIMEOUT_S),
         ChildSpec("connections", pool_owner(parts.node_connections), _CLOSE_TIMEOUT_S),
         ChildSpec("placer", placer_body),
     )
-    return supervisor("dispatch", children, time.monotonic)
+    return supervisor("dispatch", children, boot_clock)
 
 
 def guard_branch(parts: FleetParts) -> ChildBody:
@@ -203,7 +200,7 @@
         parts.single_use_backend_connections,
         parts.dialect,
     )
-    gate_body = gate(parts.gate, parts.gate_state, time.monotonic)
+    gate_body = gate(parts.gate, parts.gate_state, boot_clock)
     children = (
         ChildSpec(
             "connections", pool_owner(parts.backend_connections), _CLOSE_TIMEOUT_S
@@ -212,10 +209,10 @@
         ChildSpec("probe", probe(probe_port)),
         ChildSpec(
             "fates",
-            run_recorder(parts.run_recorder, parts.run_recorder_state, time.monotonic),
+            run_recorder(parts.run_recorder, parts.run_recorder_state, boot_clock),
         ),
     )
-    return supervisor("guard", children, time.monotonic)
+    return supervisor("guard", children, boot_clock)
 
 
 def guard_port(parts: FleetParts) -> GuardPort:
@@ -228,7 +225,7 @@
         parts.single_use_backend_connections,
         parts.dialect,
         parts.trail,
-        time.monotonic,
+        boot_clock,
         parts.tickets,
         parts.parents,
     )
@@ -243,7 +240,6 @@
         guard_port(parts),
         settings.backend,
         settings.nodes.port,
-        _boot_clock,
     )
     return FrontPort(parts.configuration, send, parts.service, parts.stop)
 
@@ -257,7 +253,7 @@
         if counts is None:
             return Response(503, body=b"the trail does not answer\n")
         metrics = samples(
-            counts, parts.guard_state.value, parts.configuration.value, time.monotonic()
+            counts, parts.guard_state.value, parts.configuration.value, boot_clock()
         )
         headers = {"Content-Type": EXPOSITION_TYPE}
         return Response(200, headers, encode_metrics(metrics))
@@ -279,7 +275,7 @@
         port,
         {
             SYNC_PATH: sync_handler(sync_port(parts)),
-            RUN_QUERY_PATH: outcome_handler(port, _boot_clock),
+            RUN_QUERY_PATH: outcome_handler(port),
         },
     )
 
@@ -295,7 +291,7 @@
     ) -> ChildSpec:
         server = HttpServer(handler, limits, lambda: parts.stop.under_way)
         body = http_listener(
-            address, server, parts.stop, time.monotonic, last_requests_wait_s
+            address, server, parts.stop, boot_clock, last_requests_wait_s
         )
         return ChildSpec(name, body, settings.stop_timeout_s)
 
@@ -306,4 +302,4 @@
         listener("nodes", settings.nodes, inbound, _LAST_REQUESTS_WAIT_S),
         listener("clients", settings.clients, ingress, _LAST_REQUESTS_WAIT_S, limits),
     )
-    return supervisor("entry", children, time.monotonic)
+    return supervisor("entry", children, boot_clock)
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -47,7 +47,6 @@
 from _masticspoke.supervise.ask import ask_or
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
-from _masticspoke.supervise.supervisor import Clock
 
 HandlerByPath = Mapping[str, Handler]
 # Longest request body between nodes; the limit for clients may be lower.
@@ -142,21 +141,19 @@
     return {LEAVING_HEADER: encode_state(server).decode()}
 
 
-def outcome_handler(port: InboundPort, boot_clock: Clock) -> Handler:
+def outcome_handler(port: InboundPort) -> Handler:
     """Return the handler of queries for the outcome of a request.
 
     A sender makes one when its connection broke before the answer was complete.
-
-    :param boot_clock: clock that also advances while the VM is suspended.
     """
-    started_at = boot_clock()
+    started_at = port.guard.clock()
 
     async def handle(request: Request) -> Response | Streamed:
         query = decode_run_query(await request.body(_MAX_QUERY_BYTES))
         if query is None:
             return Response(400, body=b"malformed question\n")
         request_id, asked_after_s = query
-        if not started_before_send(boot_clock() - started_at, asked_after_s):
+        if not started_before_send(port.guard.clock() - started_at, asked_after_s):
             return _response(port.guard, Interrupted("the node has restarted since"))
         reply: Reply[RunResult | None] = Reply()
         message = AskOutcome(request_id, asked_after_s, reply)
--- a/src/_masticspoke/fleet/node.py
+++ b/src/_masticspoke/fleet/node.py
@@ -27,6 +27,7 @@
 from _masticspoke.fleet.trail import encode_line
 from _masticspoke.fleet.trail import nonblocking_writer
 from _masticspoke.http_server import Handler
+from _masticspoke.supervise.clocks import boot_clock
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
@@ -67,7 +68,7 @@
     listeners = entry_branch(
         parts, front_end.clients, front_end.control_plane, front_end.readiness
     )
-    departure_body = departure(parts.gate, parts.stop, time.monotonic)
+    departure_body = departure(parts.gate, parts.stop, boot_clock)
     stop_s = parts.settings.stop_timeout_s
     branches = (
         ChildSpec("reporting", reporting_branch(parts), _BRANCH_STOP_TIMEOUT_S),
@@ -78,7 +79,7 @@
         ChildSpec("entry", listeners, stop_s),
         ChildSpec("departure", departure_body, stop_s),
     )
-    return supervisor("node", branches, time.monotonic)
+    return supervisor("node", branches, boot_clock)
 
 
 def run_fleet_node(parts: FleetParts, tree: ChildBody) -> None:
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -46,7 +46,6 @@
 from _masticspoke.http_server import Streamed
 from _masticspoke.model import Address
 from _masticspoke.supervise.mailbox import Mailbox
-from _masticspoke.supervise.supervisor import Clock
 
 # Refusals with these reasons count neither as a failure nor as a success of the server:
 # they say nothing about its health.
@@ -67,7 +66,6 @@
 
     :param local_backend: address of the local backend server.
     :param peer_port: TCP port where each node accepts requests of other nodes.
-    :param boot_clock: clock that also advances while the VM is suspended.
     """
 
     placer: Mailbox[PlacerMessage]
@@ -75,7 +73,6 @@
     guard: GuardPort
     local_backend: Address
     peer_port: int
-    boot_clock: Clock
 
 
 @final
@@ -124,7 +121,7 @@
 class _SendAttempt:
     """One send to one guard, and its outcome.
 
-    :param sent_at: time on :attr:`SendPort.boot_clock`.
+    :param sent_at: time of the send.
     :param result: ``None`` until the send has ended.
     :param load: load that the guard reported; ``None`` if it reported none.
     """
@@ -152,7 +149,7 @@
     forwarder: AnswerForwarder,
 ) -> RunResult:
     """Send a job to the guard of ``server``, and report the outcome to the placer."""
-    attempt = _SendAttempt(port, job, server, outgoing, forwarder, port.boot_clock())
+    attempt = _SendAttempt(port, job, server, outgoing, forwarder, port.guard.clock())
     try:
         if server.address == port.local_backend:
             attempt.result = await run_job(port.guard, job, outgoing, forwarder.forward)
@@ -184,7 +181,7 @@
     node = _node_address(attempt)
     for _ in range(_OUTCOME_QUERY_TRIES):
         query = encode_run_query(
-            attempt.job.request_id, port.boot_clock() - attempt.sent_at
+            attempt.job.request_id, port.guard.clock() - attempt.sent_at
         )
         headers = {"Host": str(node)}
         try:
@@ -275,7 +272,7 @@
         nested=attempt.job.nested,
         route=attempt.job.route,
         answered_after_s=(
-            attempt.port.boot_clock() - attempt.sent_at
+            attempt.port.guard.clock() - attempt.sent_at
             if isinstance(result, Answer | Streamed)
             else None
         ),
--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -25,6 +25,7 @@
 from _masticspoke.connections import READ_BUFFER_BYTES
 from _masticspoke.connections import TCP_USER_TIMEOUT_MS
 from _masticspoke.model import Address
+from _masticspoke.supervise.clocks import boot_clock
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 
@@ -228,7 +229,7 @@
 
     def _pop_idle(self, address: Address) -> CheckedHandler | None:
         idle = self._idle.get(address)
-        cutoff = asyncio.get_running_loop().time() - KEEP_IDLE_S
+        cutoff = boot_clock() - KEEP_IDLE_S
         while idle:
             connection, idle_since = idle.pop()
             if connection.is_connected() and idle_since > cutoff:
@@ -266,12 +267,12 @@
         if not (reusable and self._keep_alive and connection.is_connected()):
             connection.abort()
             return
-        now = asyncio.get_running_loop().time()
+        now = boot_clock()
         self._idle.setdefault(address, []).append((connection, now))
 
     def close_idle(self, keep_s: float) -> None:
         """Close connections that have been idle for at least ``keep_s``."""
-        cutoff = asyncio.get_running_loop().time() - keep_s
+        cutoff = boot_clock() - keep_s
         for address, idle in list(self._idle.items()):
             for connection, idle_since in idle:
                 if idle_since <= cutoff:
