Large zones follow the log through one of their nodes

Change: in a zone of 8 nodes or more, nodes ask one node of their zone (ranked alike by all, one for 40) by a long poll between nodes; it reads the log for them while it is asked. An answer says how old the relay's knowledge is, by the boot clock; a node whose relay is silent for 1.4 s, or behind by more than 1.5 s, reads the log itself at once, and reads it until another relay has answered. Small zones read the log as before. The checksum of states is kept, not computed for each exchange.

Result: testing/fleet/test_relaying.py on real sockets (12 nodes): only the relay calls the log, at most 8 calls in 5 s; a version is in force within 2 s after the relay is gone, turned away, unanswered, and with a third of the nodes cut off.

--- a/src/_masticspoke/decisions/fleet/members.py
+++ b/src/_masticspoke/decisions/fleet/members.py
@@ -15,9 +15,13 @@
 @final
 @dataclass(slots=True)
 class Members:
-    """Newest known state of the backend server at each address."""
+    """Newest known state of the backend server at each address.
+
+    :param checksums: checksum of each state, for :func:`digest`.
+    """
 
     by_address: dict[Address, BackendServer] = field(default_factory=dict)
+    checksums: dict[Address, int] = field(default_factory=dict)
 
 
 def is_newer(update: BackendServer, known: BackendServer | None) -> bool:
@@ -57,6 +61,7 @@
         if not is_newer(server, known):
             continue
         members.by_address[server.address] = server
+        members.checksums[server.address] = _checksum(server)
         if must_propagate(server, known):
             changed.append(server)
     return changed
@@ -68,7 +73,9 @@
     It covers the address, incarnation and phase of each backend server, and does not
     depend on their order.
     """
-    return sum(
-        crc32(f"{s.address} {s.instance} {s.born_ms} {int(s.phase)}".encode())
-        for s in members.by_address.values()
-    )
+    return sum(map(members.checksums.__getitem__, members.by_address))
+
+
+def _checksum(server: BackendServer) -> int:
+    text = f"{server.address} {server.instance} {server.born_ms} {int(server.phase)}"
+    return crc32(text.encode())
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -71,6 +71,7 @@
     STATE_UNREADABLE = EventSpec(
         4205, "WARNING", "state of a backend server unreadable"
     )
+    LOG_FOLLOWED = EventSpec(4206, "INFO", "log followed through another node or read")
     LINES_DROPPED = EventSpec(4901, "WARNING", "log lines dropped")
     MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -11,6 +11,7 @@
 from _masticspoke.border.backend_state import decode_state
 from _masticspoke.border.exposition import encode_metrics
 from _masticspoke.border.exposition import EXPOSITION_TYPE
+from _masticspoke.border.follow import FOLLOW_PATH
 from _masticspoke.border.hop import RUN_QUERY_PATH
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.connections import connection_owner
@@ -44,6 +45,10 @@
 from _masticspoke.fleet.probe import ProbePort
 from _masticspoke.fleet.registry import registry
 from _masticspoke.fleet.registry import RegistryPort
+from _masticspoke.fleet.relaying import follow_handler
+from _masticspoke.fleet.relaying import relay_chooser
+from _masticspoke.fleet.relaying import relay_follower
+from _masticspoke.fleet.relaying import RelayPort
 from _masticspoke.fleet.run_recorder import run_recorder
 from _masticspoke.fleet.sending import SendPort
 from _masticspoke.fleet.sync import sync_handler
@@ -65,9 +70,7 @@
 from _masticspoke.supervise.supervisor import supervisor
 
 # A follower whose log answers nothing more notices it within this time and the margin
-# of a poll. A node counts as in touch 3 s after a disruption; states of backend servers
-# also come from peers.
-_CONFIGURATION_READ_WAIT_S = 2.0
+# of a poll. States of backend servers also come from peers.
 _STATES_READ_WAIT_S = 5.0
 # States of backend servers often change together: read them in one batch.
 _STATES_BATCH_PAUSE_S = 0.4
@@ -104,8 +107,9 @@
         settings.log,
         Following(
             parts.dialect.configuration_stream,
-            read_wait_s=_CONFIGURATION_READ_WAIT_S,
+            read_wait_s=lambda: parts.configuration_wait_s.value,
             batch_pause_s=0.0,
+            active=parts.reads_log,
         ),
         _on_configuration(parts),
     )
@@ -114,8 +118,9 @@
         settings.log,
         Following(
             parts.dialect.servers_stream,
-            read_wait_s=_STATES_READ_WAIT_S,
+            read_wait_s=lambda: _STATES_READ_WAIT_S,
             batch_pause_s=_STATES_BATCH_PAUSE_S,
+            active=parts.reads_log,
         ),
         _on_states(parts),
     )
@@ -125,11 +130,21 @@
         settings.log,
         parts.dialect.servers_stream,
     )
+    chooser = relay_chooser(
+        parts.relay_chooser,
+        parts.relay_state,
+        parts.reads_log,
+        parts.configuration_wait_s,
+        parts.trail,
+        boot_clock,
+    )
     children = (
         ChildSpec("registry", registry_body),
         ChildSpec("configuration_follower", configuration_follower),
         ChildSpec("states_follower", states_follower),
         ChildSpec("states_writer", writer),
+        ChildSpec("relay_chooser", chooser),
+        ChildSpec("relay_follower", relay_follower(relay_port(parts), Random())),
         ChildSpec("sync", sync_task(sync_port(parts), Random())),
     )
     return supervisor("knowledge", children, boot_clock)
@@ -180,6 +195,17 @@
     )
 
 
+def relay_port(parts: FleetParts) -> RelayPort:
+    """Return the port of the relay follower and of the handler of its requests."""
+    return RelayPort(
+        parts.relay_chooser,
+        parts.registry,
+        parts.node_connections,
+        parts.dialect,
+        parts.settings.nodes.port,
+    )
+
+
 def dispatch_branch(parts: FleetParts) -> ChildBody:
     """Return the supervisor of the placer and the connections to other nodes."""
     placer_body = placer(parts.placer, parts.placer_state, boot_clock)
@@ -275,6 +301,7 @@
         port,
         {
             SYNC_PATH: sync_handler(sync_port(parts)),
+            FOLLOW_PATH: follow_handler(relay_port(parts)),
             RUN_QUERY_PATH: outcome_handler(port),
         },
     )
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/followers.py
@@ -19,6 +19,7 @@
 from _masticspoke.decisions.backoff import pause_after
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.fleet.messages import LogHealth
+from _masticspoke.fleet.messages import LogNotRead
 from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
@@ -32,6 +33,7 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.switch import Switch
 
 # Timeout of one request to the log, except for long polls.
 LOG_TIMEOUT_S = 1.5
@@ -51,15 +53,17 @@
 class Following:
     """How a stream is followed.
 
-    :param read_wait_s: long poll: the time that a read at the end of the stream waits
-        for a new record. A read that has gone silent is noticed this much later.
+    :param read_wait_s: long poll: returns the time that a read at the end of the stream
+        waits for a new record. A read that has gone silent is noticed this much later.
     :param batch_pause_s: pause after a read with records, so that the next read
         returns many.
+    :param active: off while the node follows the log through another node.
     """
 
     stream: str
-    read_wait_s: float
+    read_wait_s: Callable[[], float]
     batch_pause_s: float
+    active: Switch
 
 
 def keyed_follower(
@@ -94,7 +98,13 @@
     random = Random()
     failures = 0
     while True:
+        if not following.active.is_on:
+            registry.tell(LogNotRead(following.stream))
+            await following.active.wait_on()
+            failures = 0
         fault, log_answered = await _follow(registry, client, following, on_values)
+        if fault is None:
+            continue
         failures = 1 if log_answered else failures + 1
         registry.tell(LogHealth(following.stream, fault.value))
         await asyncio.sleep(
@@ -107,8 +117,8 @@
     client: LogClient,
     following: Following,
     on_values: OnValues,
-) -> tuple[LogFault, bool]:
-    """Follow a stream until a fault.
+) -> tuple[LogFault | None, bool]:
+    """Follow a stream until a fault, or until it need not be followed.
 
     :return: the fault, and whether the newest values had been read before it.
     """
@@ -120,8 +130,9 @@
     poll_client = replace(client, timeout_s=POLL_MARGIN_S)
     on_values(newest.values)
     offset = newest.next_offset
-    while True:
-        result = await read(poll_client, stream, offset, following.read_wait_s)
+    while following.active.is_on:
+        wait_s = following.read_wait_s()
+        result = await read(poll_client, stream, offset, wait_s)
         if isinstance(result, LogFault):
             return result, True
         if not result.records and result.next_offset != offset:
@@ -132,6 +143,7 @@
         offset = result.next_offset
         if result.records and following.batch_pause_s > 0:
             await asyncio.sleep(following.batch_pause_s)
+    return None, True
 
 
 def _last_values(result: ReadResult) -> dict[str, bytes]:
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -11,6 +11,8 @@
 from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.decisions.fleet.relays import READ_WAIT_S
+from _masticspoke.decisions.fleet.relays import RelayState
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.followers import CONNECT_TIMEOUT_S
@@ -22,6 +24,7 @@
 from _masticspoke.fleet.placer import PlacerState
 from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.fleet.registry import RegistryState
+from _masticspoke.fleet.relaying import RelayMessage
 from _masticspoke.fleet.run_recorder import RunRecorderMessage
 from _masticspoke.fleet.run_recorder import RunRecorderState
 from _masticspoke.fleet.settings import FleetSettings
@@ -29,6 +32,7 @@
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.planned_stop import PlannedStop
+from _masticspoke.supervise.switch import Switch
 
 # Messages that may wait for a task; more means that the node is far behind.
 _MAILBOX_CAPACITY = 8_192
@@ -45,6 +49,8 @@
     :param parents: requests that run at the local backend server.
     :param unsaved: states of the local backend server that are to be appended to the
         log.
+    :param reads_log: on while this node reads the log itself.
+    :param configuration_wait_s: how long its reads of the configuration wait, seconds.
     :param peer_connections: connections to other nodes for exchanges of states.
     :param node_connections: connections to the guards of other nodes.
     :param backend_connections: connections to the local backend server.
@@ -69,6 +75,10 @@
     run_recorder_state: RunRecorderState
     unsaved: Mailbox[BackendServer]
     trail: Mailbox[TrailMessage]
+    relay_chooser: Mailbox[RelayMessage]
+    relay_state: RelayState
+    reads_log: Switch
+    configuration_wait_s: Latest[float]
     peer_connections: Connections
     node_connections: HttpPool
     backend_connections: HttpPool
@@ -101,6 +111,10 @@
         run_recorder_state=RunRecorderState(),
         unsaved=Mailbox(_MAILBOX_CAPACITY),
         trail=trail,
+        relay_chooser=Mailbox(_MAILBOX_CAPACITY),
+        relay_state=RelayState(settings.nodes.host, settings.zone),
+        reads_log=Switch(),
+        configuration_wait_s=Latest(READ_WAIT_S),
         peer_connections=Connections(),
         node_connections=HttpPool(CONNECT_TIMEOUT_S),
         backend_connections=HttpPool(CONNECT_TIMEOUT_S, True, dialect.echo_header),
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from random import getrandbits
 from typing import final
 
 from _masticspoke.decisions.fleet import members
@@ -17,6 +18,7 @@
 from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import AskLocalBackend
+from _masticspoke.fleet.messages import AskNews
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import Deregistered
@@ -24,6 +26,8 @@
 from _masticspoke.fleet.messages import LocalBackendConfirmed
 from _masticspoke.fleet.messages import LocalBackendState
 from _masticspoke.fleet.messages import LogHealth
+from _masticspoke.fleet.messages import LogNotRead
+from _masticspoke.fleet.messages import News
 from _masticspoke.fleet.messages import RegistrySnapshot
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersReceived
@@ -43,12 +47,16 @@
     | ServersReceived
     | ConfigurationReceived
     | LogHealth
+    | LogNotRead
     | AskRegistrySnapshot
+    | AskNews
     | AskLocalBackend
     | LocalBackendConfirmed
 )
 # For this long, a change is sent with each exchange that this node starts with a peer.
 _RECENT_CHANGE_S = 5.0
+# Bits of the identity of a process.
+_IDENTITY_BITS = 48
 # Heartbeats up to this number show that a backend server has just started.
 _MAX_FIRST_SEQUENCE = 2
 
@@ -66,6 +74,11 @@
     :param changed_at: time of the last change of each server.
     :param local_heartbeat_received: whether the local backend server has sent this node
         a heartbeat.
+    :param identity: identity of this process, for nodes that follow it.
+    :param change: number of the last change of a server.
+    :param changes: number of the last change of each server.
+    :param held: questions of nodes that follow this one, to be answered with the next
+        configuration.
     """
 
     members: Members = field(default_factory=Members)
@@ -74,6 +87,10 @@
     answered_at: dict[str, float] = field(default_factory=dict)
     changed_at: dict[Address, float] = field(default_factory=dict)
     local_heartbeat_received: bool = False
+    identity: int = field(default_factory=lambda: getrandbits(_IDENTITY_BITS))
+    change: int = 0
+    changes: dict[Address, int] = field(default_factory=dict)
+    held: list[AskNews] = field(default_factory=list)
 
 
 @final
@@ -194,6 +211,8 @@
     changed = tuple(members.merge(state.registry.members, servers))
     for server in changed:
         state.registry.changed_at[server.address] = now
+        state.registry.change += 1
+        state.registry.changes[server.address] = state.registry.change
         state.port.trail.tell(
             EventRecord(Event.SERVER_CHANGED, _server_fields(server, source))
         )
@@ -227,6 +246,7 @@
         return
     state.registry.raw = message.raw
     state.port.configuration.tell(message.configuration)
+    _answer_held(state, now)
     state.port.trail.tell(
         EventRecord(
             Event.CONFIGURATION_IN_FORCE,
@@ -256,6 +276,7 @@
         state.registry.answered_at[message.source] = now
     else:
         state.registry.faults[message.source] = message.fault
+        _answer_held(state, now)
     if (previous_fault is None) is not (message.fault is None):
         event = Event.LOG_AVAILABLE if message.fault is None else Event.LOG_UNAVAILABLE
         fields = {
@@ -266,11 +287,55 @@
         state.port.trail.tell(EventRecord(event, fields))
 
 
+def _log_not_read(state: _TaskState, message: LogNotRead, now: float) -> None:
+    state.registry.faults.pop(message.source, None)
+    state.registry.answered_at.pop(message.source, None)
+
+
+def _ask_news(state: _TaskState, message: AskNews, now: float) -> None:
+    version = _version(state)
+    if message.hold and message.version >= version:
+        held = state.registry.held
+        held[:] = [question for question in held if not question.reply.abandoned]
+        held.append(message)
+        return
+    message.reply.answer(_news(state, message, now))
+
+
+def _answer_held(state: _TaskState, now: float) -> None:
+    held, state.registry.held = state.registry.held, []
+    for question in held:
+        question.reply.answer(_news(state, question, now))
+
+
+def _news(state: _TaskState, question: AskNews, now: float) -> News:
+    registry_state = state.registry
+    known = question.change if question.relay == registry_state.identity else 0
+    answered_at = registry_state.answered_at.get(question.source)
+    if question.source in registry_state.faults:
+        answered_at = None
+    return News(
+        relay=registry_state.identity,
+        change=registry_state.change,
+        raw=registry_state.raw if _version(state) > question.version else b"",
+        servers=tuple(
+            registry_state.members.by_address[address]
+            for address, number in registry_state.changes.items()
+            if number > known
+        ),
+        log_age_s=None if answered_at is None else now - answered_at,
+    )
+
+
+def _version(state: _TaskState) -> int:
+    configuration = state.port.configuration.value
+    return 0 if configuration is None else configuration.version
+
+
 def _ask_registry_snapshot(
     state: _TaskState, message: AskRegistrySnapshot, now: float
 ) -> None:
     registry_state = state.registry
-    configuration = state.port.configuration.value
     recent = tuple(
         registry_state.members.by_address[address]
         for address, changed_at in registry_state.changed_at.items()
@@ -278,7 +343,7 @@
     )
     message.reply.answer(
         RegistrySnapshot(
-            version=0 if configuration is None else configuration.version,
+            version=_version(state),
             raw=registry_state.raw,
             digest=members.digest(registry_state.members),
             servers=tuple(registry_state.members.by_address.values()),
@@ -294,6 +359,8 @@
     ServersReceived: _servers_received,
     ConfigurationReceived: _configuration_received,
     LogHealth: _log_health,
+    LogNotRead: _log_not_read,
+    AskNews: _ask_news,
     AskRegistrySnapshot: _ask_registry_snapshot,
     AskLocalBackend: _ask_local_backend,
     LocalBackendConfirmed: _local_backend_confirmed,
--- a/testing/fleet/platform_fleet.py
+++ b/testing/fleet/platform_fleet.py
@@ -55,7 +55,8 @@
 class PlatformFleet:
     session: aiohttp.ClientSession
     folder: Path
-    log: LogService = field(default_factory=LogService)
+    runner: web.AppRunner
+    log: LogService
     log_port: int = field(default_factory=free_port)
     ports: list[int] = field(default_factory=lambda: [free_port() for _ in range(6)])
     nodes: list[Node] = field(default_factory=list)
@@ -81,6 +82,8 @@
         :param options: further arguments of :class:`PlatformBackend`.
         """
         host = f"127.0.1.{next(_HOST_NUMBERS)}"
+        # The log service tells the nodes apart by the address that they call.
+        await web.TCPSite(self.runner, host, self.log_port).start()
         clients, nodes, readiness, control_plane, backend_port, metrics = self.ports
         settings = FleetSettings(
             name=f"node-{host}",
@@ -93,7 +96,7 @@
             backend=Address(host, backend_port),
             metrics=Address(host, metrics),
             seeds=tuple(n.parts.settings.nodes.host for n in self.nodes[:3]),
-            log=Address("127.0.0.1", self.log_port),
+            log=Address(host, self.log_port),
             budget=BudgetBounds(ratio=1.0, extra=1000.0),
             stop_timeout_s=self.stop_timeout_s,
         )
@@ -161,10 +164,10 @@
 async def platform_fleet(folder: Path) -> AsyncIterator[PlatformFleet]:
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
-        fleet = PlatformFleet(session, folder)
-        runner = web.AppRunner(application(fleet.log), shutdown_timeout=0.1)
+        log = LogService()
+        runner = web.AppRunner(application(log), shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", fleet.log_port).start()
+        fleet = PlatformFleet(session, folder, runner, log)
         try:
             yield fleet
         finally:
--- /dev/null
+++ b/testing/fleet/test_relaying.py
@@ -0,0 +1,128 @@
+"""Nodes of a large zone that follow the log through one of them."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from testing.fleet.platform_fleet import Node
+from testing.fleet.platform_fleet import PlatformFleet
+from testing.fleet.platform_fleet import run_scenario
+from testing.fleet.platform_fleet import wait_until
+from testing.fleet.test_path import READ
+
+from _masticspoke.decisions.fleet.relays import MIN_ZONE_NODES
+
+# The platform's tightest bound on a configuration, seconds.
+PROPAGATION_S = 2.0
+NODES = MIN_ZONE_NODES + 4
+
+
+def relay_of(fleet: PlatformFleet) -> Node:
+    """Return the node that all others follow."""
+    hosts = {n.parts.relay_state.relay for n in fleet.nodes} - {""}
+    assert len(hosts) == 1
+    (host,) = hosts
+    return next(n for n in fleet.nodes if n.parts.settings.nodes.host == host)
+
+
+def followers(fleet: PlatformFleet) -> list[Node]:
+    return [node for node in fleet.nodes if not node.parts.reads_log.is_on]
+
+
+async def add_zone(fleet: PlatformFleet) -> None:
+    """Start the nodes, and wait until all but one follow that one."""
+    fleet.publish(READ)
+    for _ in range(NODES):
+        await fleet.add("desk")
+    await fleet.wait_until_synchronised()
+    await wait_until(lambda: len(followers(fleet)) == NODES - 1, 10.0)
+
+
+async def publish_in_time(fleet: PlatformFleet, nodes: list[Node]) -> None:
+    fleet.publish(READ)
+
+    def in_force() -> bool:
+        values = [node.parts.configuration.value for node in nodes]
+        return all(v is not None and v.version == fleet.version for v in values)
+
+    await wait_until(in_force, PROPAGATION_S)
+
+
+def test_followers_leave_the_log_alone_and_hear_of_a_version_at_once(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        await add_zone(fleet)
+        relay = relay_of(fleet)
+        await asyncio.sleep(6.0)  # the last long polls have ended
+        fleet.log.calls.clear()
+        await asyncio.sleep(5.0)
+        assert set(fleet.log.calls) == {relay.parts.settings.nodes.host}
+        assert fleet.log.calls.total() <= 8
+        await publish_in_time(fleet, fleet.nodes)
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("fault", ["turned_away", "unanswered"])
+def test_version_is_in_time_while_the_relay_does_not_reach_the_log(
+    tmp_path: Path, fault: str
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        await add_zone(fleet)
+        relay = relay_of(fleet)
+        setattr(fleet.log.faults, fault, [relay.parts.settings.nodes.host])
+        await publish_in_time(fleet, [n for n in fleet.nodes if n is not relay])
+        host = relay.parts.settings.nodes.host
+        await wait_until(
+            lambda: all(n.parts.relay_state.relay != host for n in fleet.nodes), 3.0
+        )
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_version_is_in_time_after_the_relay_has_gone(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        await add_zone(fleet)
+        relay = relay_of(fleet)
+        relay.task.cancel()
+        await asyncio.sleep(0.1)
+        others = [node for node in fleet.nodes if node is not relay]
+        await publish_in_time(fleet, others)
+        fleet.nodes.remove(relay)
+        await wait_until(lambda: len(followers(fleet)) == NODES - 2, 10.0)
+        assert relay_of(fleet) is not relay
+        await publish_in_time(fleet, others)
+        await relay.backend.stop()
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_version_is_in_time_while_a_third_is_cut_off_from_the_log(
+    tmp_path: Path,
+) -> None:
+    """The relay and those that would replace it are among them."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        await add_zone(fleet)
+        relay = relay_of(fleet)
+        others = [node for node in fleet.nodes if node is not relay]
+        cut = [relay, *others[: NODES // 3 - 1]]
+        fleet.log.faults.unanswered = [n.parts.settings.nodes.host for n in cut]
+        await publish_in_time(fleet, [n for n in fleet.nodes if n not in cut])
+        await asyncio.sleep(2.0)
+        await publish_in_time(fleet, [n for n in fleet.nodes if n not in cut])
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_states_of_servers_reach_the_followers(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        await add_zone(fleet)
+        await fleet.add("desk")
+        await fleet.wait_until_synchronised()
+        assert len(followers(fleet)) >= NODES - 2
+
+    run_scenario(tmp_path, scenario)
--- a/testing/standins/log_service.py
+++ b/testing/standins/log_service.py
@@ -11,6 +11,7 @@
 import struct
 import sys
 import time
+from collections import Counter
 from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import field
@@ -35,7 +36,9 @@
         whose records are stored ``late_ms`` later.
     :param appends_per_s: appends accepted in a second; further ones get 429.
     :param retained_records: newest records that each stream keeps.
-    :param turned_away: IP addresses of the callers that get 503.
+    :param turned_away: IP addresses of the callers, or of the service's own that they
+        call, that get 503.
+    :param unanswered: IP addresses of the service's own whose callers get no answer.
     """
 
     down: bool = False
@@ -47,6 +50,7 @@
     appends_per_s: int = 500
     retained_records: int = 1_000_000
     turned_away: list[str] = field(default_factory=list)
+    unanswered: list[str] = field(default_factory=list)
 
 
 @dataclass
@@ -87,6 +91,7 @@
     :param append_times: times of the appends within the last second.
     :param transports: connections on which requests arrived.
     :param silenced: those on which nothing is answered any more.
+    :param calls: number of requests by the IP address of the service that was called.
     """
 
     faults: Faults = field(default_factory=Faults)
@@ -96,6 +101,7 @@
     silenced: set[object] = field(default_factory=set)
     appends_total: int = 0
     bytes_total: int = 0
+    calls: Counter[str] = field(default_factory=Counter)
 
     def stream(self, name: str) -> Stream:
         return self.streams.setdefault(name, Stream())
@@ -137,18 +143,26 @@
     app = web.Application(client_max_size=64 * 2**20)
     late_tasks: set[asyncio.Task[None]] = set()
 
+    def count_call(request: web.Request) -> None:
+        assert request.transport is not None
+        log.calls[request.transport.get_extra_info("sockname")[0]] += 1
+
     async def apply_faults(request: web.Request) -> None:
         log.transports.add(request.transport)
+        assert request.transport is not None
+        called = request.transport.get_extra_info("sockname")[0]
         if request.transport in log.silenced:
             await asyncio.sleep(3600)
         if log.faults.delay_ms:
             await asyncio.sleep(log.faults.delay_ms / 1000)
-        if log.faults.silent:
+        if log.faults.silent or called in log.faults.unanswered:
             await asyncio.sleep(3600)
-        if log.faults.down or request.remote in log.faults.turned_away:
+        away = log.faults.turned_away
+        if log.faults.down or request.remote in away or called in away:
             raise web.HTTPServiceUnavailable
 
     async def append(request: web.Request) -> web.StreamResponse:
+        count_call(request)
         await apply_faults(request)
         now = time.monotonic()
         log.append_times = [t for t in log.append_times if now - t < 1.0]
@@ -191,6 +205,7 @@
         log.add(stream, records)
 
     async def read(request: web.Request) -> web.StreamResponse:
+        count_call(request)
         await apply_faults(request)
         stream = log.stream(request.query["topic"])
         start = int(request.query["from"])
@@ -210,6 +225,7 @@
         return web.Response(body=body)
 
     async def read_newest(request: web.Request) -> web.StreamResponse:
+        count_call(request)
         await apply_faults(request)
         stream = log.stream(request.query["topic"])
         after = request.query.get("after", "")
