Calm exchanges are rarer in large fleets, and addresses are parsed once

Cause, by profiles of 100 nodes in one process: half of an idle node's processor time went to exchanges with random peers, each on a new connection, and a sixth of the start to parsing the IP numbers in states of backend servers again and again.

Change: nodes that the log serves exchange every 3 s in fleets up to 30, and more rarely in proportion beyond, at least every 15 s; nodes that it turns away as often as before. Parsed IP numbers are kept (32,768 of them). Internal listeners look for idle connections every 5 s, pools every 2 s. A relay that is stopping is left at once.

--- a/src/_masticspoke/border/addresses.py
+++ b/src/_masticspoke/border/addresses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from ipaddress import ip_address
 
 from _masticspoke.model import Address
@@ -22,6 +23,8 @@
     return Address(_checked_ip(host), int(port))
 
 
+# Nodes read the same addresses again and again, in states of backend servers.
+@lru_cache(maxsize=32_768)
 def _checked_ip(host: str) -> str:
     try:
         return str(ip_address(host.strip("[]")))
--- a/src/_masticspoke/decisions/fleet/exchanges.py
+++ b/src/_masticspoke/decisions/fleet/exchanges.py
@@ -14,17 +14,26 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 
-# Longest pause between exchanges while the log answers.
+# Longest pause between exchanges while the log answers, in a fleet of up to
+# USUAL_NODES. It grows with the number of nodes beyond, up to MAX_CALM_PAUSE_S. Nodes
+# that the log turns away exchange as often in any fleet.
 MAX_PAUSE_S = 3.0
+MAX_CALM_PAUSE_S = 15.0
+USUAL_NODES = 30
 # Longest pause while the log does not answer or the node has no configuration.
 MAX_URGENT_PAUSE_S = 0.4
 # Peers that a node exchanges with at a time, by whether it is urgent.
 _PEERS = {False: 1, True: 2}
 
 
-def pause_s(urgent: bool, random: Random) -> float:
-    """Return the time until the next exchange, seconds; half of it is random."""
-    longest_s = MAX_URGENT_PAUSE_S if urgent else MAX_PAUSE_S
+def pause_s(urgent: bool, nodes: int, random: Random) -> float:
+    """Return the time until the next exchange, seconds; half of it is random.
+
+    :param nodes: number of nodes in the fleet.
+    """
+    growth = max(1.0, nodes / USUAL_NODES)
+    calm_s = min(MAX_CALM_PAUSE_S, MAX_PAUSE_S * growth)
+    longest_s = MAX_URGENT_PAUSE_S if urgent else calm_s
     return longest_s * random.uniform(0.5, 1.0)
 
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -75,6 +75,9 @@
 # States of backend servers often change together: read them in one batch.
 _STATES_BATCH_PAUSE_S = 0.4
 _CLOSE_TIMEOUT_S = 1.0
+# Time between two checks for connections that are idle or slow beyond the limits.
+_CLIENTS_SWEEP_INTERVAL_S = 1.0
+_INTERNAL_SWEEP_INTERVAL_S = 5.0
 # Wait for requests on connections that were accepted just before a socket closed.
 _LAST_REQUESTS_WAIT_S = 0.15
 
@@ -203,6 +206,7 @@
         parts.node_connections,
         parts.dialect,
         parts.settings.nodes.port,
+        parts.stop,
     )
 
 
@@ -315,10 +319,16 @@
         handler: Handler,
         last_requests_wait_s: float,
         limits: Callable[[], Limits] = lambda: _INTERNAL_LIMITS,
+        sweep_interval_s: float = _INTERNAL_SWEEP_INTERVAL_S,
     ) -> ChildSpec:
         server = HttpServer(handler, limits, lambda: parts.stop.under_way)
         body = http_listener(
-            address, server, parts.stop, boot_clock, last_requests_wait_s
+            address,
+            server,
+            parts.stop,
+            boot_clock,
+            last_requests_wait_s,
+            sweep_interval_s,
         )
         return ChildSpec(name, body, settings.stop_timeout_s)
 
@@ -327,6 +337,13 @@
         listener("control_plane", settings.control_plane, control_plane, 0.0),
         listener("readiness", settings.readiness, readiness, 0.0),
         listener("nodes", settings.nodes, inbound, _LAST_REQUESTS_WAIT_S),
-        listener("clients", settings.clients, ingress, _LAST_REQUESTS_WAIT_S, limits),
+        listener(
+            "clients",
+            settings.clients,
+            ingress,
+            _LAST_REQUESTS_WAIT_S,
+            limits,
+            _CLIENTS_SWEEP_INTERVAL_S,
+        ),
     )
     return supervisor("entry", children, boot_clock)
--- a/src/_masticspoke/fleet/listening.py
+++ b/src/_masticspoke/fleet/listening.py
@@ -13,9 +13,6 @@
 from _masticspoke.supervise.planned_stop import PlannedStop
 from _masticspoke.supervise.supervisor import Clock
 
-# Time between two checks for connections that are idle or slow beyond the limits.
-_SWEEP_INTERVAL_S = 1.0
-
 
 def http_listener(
     address: Address,
@@ -23,6 +20,7 @@
     stop: PlannedStop,
     clock: Clock,
     last_requests_wait_s: float,
+    sweep_interval_s: float,
 ) -> ChildBody:
     """Return the body of a task that serves HTTP at ``address``.
 
@@ -31,6 +29,8 @@
 
     :param last_requests_wait_s: wait at a stop for the first requests on connections
         accepted just before.
+    :param sweep_interval_s: time between two checks for connections that are idle or
+        slow beyond the limits.
     """
 
     async def run(life: Lifecycle) -> None:
@@ -40,7 +40,7 @@
         asyncio_server = await loop.create_server(server, sock=socket)
         try:
             life.mark_started()
-            await _sweep(server, life)
+            await _sweep(server, life, sweep_interval_s)
             stop.begin(clock())
             asyncio_server.close()
             await drain(
@@ -60,8 +60,8 @@
     return run
 
 
-async def _sweep(server: HttpServer, life: Lifecycle) -> None:
+async def _sweep(server: HttpServer, life: Lifecycle, interval_s: float) -> None:
     """Close connections that are idle or slow beyond the limits, until the stop."""
     loop = asyncio.get_running_loop()
-    while not await life.stops_within(_SWEEP_INTERVAL_S):
+    while not await life.stops_within(interval_s):
         server.sweep(loop.time())
--- a/src/_masticspoke/fleet/relaying.py
+++ b/src/_masticspoke/fleet/relaying.py
@@ -45,6 +45,7 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.planned_stop import PlannedStop
 from _masticspoke.supervise.server import Handlers
 from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
@@ -71,6 +72,7 @@
     connections: HttpPool
     dialect: Dialect
     peer_port: int
+    stop: PlannedStop
 
 
 @final
@@ -233,13 +235,15 @@
             return Response(400, body=b"malformed request to follow\n")
         port.chooser.tell(RelayAsked())
         news = await _ask_news(port, asked, hold=False)
-        if news is not None and not news.raw:
+        if news is not None and not news.raw and not port.stop.under_way:
             hold_s = relays.hold_s(news.log_age_s)
             held = await _ask_news(port, asked, hold=True, timeout_s=hold_s)
             news = held or await _ask_news(port, asked, hold=False)
         if news is None:
             return Response(503)
-        age_ms = None if news.log_age_s is None else int(news.log_age_s * 1000)
+        # A relay that is stopping is left as one that doesn't hear the log.
+        age_s = None if port.stop.under_way else news.log_age_s
+        age_ms = None if age_s is None else int(age_s * 1000)
         answer = FollowAnswer(news.relay, news.change, news.raw, news.servers, age_ms)
         return Response(200, body=encode_follow_answer(answer))
 
--- a/src/_masticspoke/fleet/sync.py
+++ b/src/_masticspoke/fleet/sync.py
@@ -80,7 +80,7 @@
             async with asyncio.TaskGroup() as exchanges:
                 for host in hosts:
                     exchanges.create_task(_exchange(port, host, snapshot))
-            await asyncio.sleep(pause_s(urgent, random))
+            await asyncio.sleep(pause_s(urgent, len(snapshot.servers), random))
 
     return run
 
--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -29,7 +29,7 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 
-_SWEEP_INTERVAL_S = 1.0
+_SWEEP_INTERVAL_S = 2.0
 # Requests with these methods carry Content-Length even when the body is empty.
 _METHODS_WITH_LENGTH = frozenset({"POST", "PUT", "PATCH"})
 
--- a/testing/decisions/fleet/test_exchanges.py
+++ b/testing/decisions/fleet/test_exchanges.py
@@ -30,7 +30,8 @@
     """
     number_of = {s.address.host: number for number, s in enumerate(servers)}
     versions = [1] * served + [0] * (len(servers) - served)
-    due = [(pause_s(n >= served, random), n) for n in range(len(servers))]
+    nodes = len(servers)
+    due = [(pause_s(n >= served, nodes, random), n) for n in range(nodes)]
     heapq.heapify(due)
     now = 0.0
     while 0 in versions:
@@ -42,7 +43,7 @@
             if must_push(versions[number], versions[peer]):
                 versions[peer] = versions[number]
             versions[number] = max(versions[number], versions[peer])
-        heapq.heappush(due, (now + EXCHANGE_S + pause_s(urgent, random), number))
+        heapq.heappush(due, (now + EXCHANGE_S + pause_s(urgent, nodes, random), number))
     return now
 
 
--- a/testing/fleet/test_relaying.py
+++ b/testing/fleet/test_relaying.py
@@ -126,3 +126,19 @@
         assert len(followers(fleet)) >= NODES - 2
 
     run_scenario(tmp_path, scenario)
+
+
+def test_relay_that_is_stopping_is_left_at_once(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.stop_timeout_s = 3.0
+        await add_zone(fleet)
+        relay = relay_of(fleet)
+        relay.life.request_stop()
+        host = relay.parts.settings.nodes.host
+        await wait_until(
+            lambda: all(n.parts.relay_state.relay != host for n in fleet.nodes), 2.0
+        )
+        await publish_in_time(fleet, [n for n in fleet.nodes if n is not relay])
+        await relay.task
+
+    run_scenario(tmp_path, scenario)
