A fresh node waits for the log before it takes a peer's configuration

After a restart, the first peer that answered decided which version a node served with, though that peer may have missed a later one (a report from another operator on what was withdrawn and is in use again after a restart).

Cause: the registry took the first configuration from any source; the log's answer came milliseconds later, or much later if the log is slow.

Change: until the log has answered or turned the node away, the newest version of peers is held; then the log's is used, or the held one.

Result: two tests of testing/fleet/test_registry.py; the first failed before.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -43,6 +43,7 @@
 from _masticspoke.fleet.placer import placer
 from _masticspoke.fleet.probe import probe
 from _masticspoke.fleet.probe import ProbePort
+from _masticspoke.fleet.registry import LOG_SOURCE
 from _masticspoke.fleet.registry import registry
 from _masticspoke.fleet.registry import RegistryPort
 from _masticspoke.fleet.relaying import follow_handler
@@ -96,7 +97,12 @@
     """Return the supervisor of the registry and of the tasks that update it."""
     settings = parts.settings
     registry_port = RegistryPort(
-        parts.configuration, parts.gate, parts.placer, parts.unsaved, parts.trail
+        parts.configuration,
+        parts.gate,
+        parts.placer,
+        parts.unsaved,
+        parts.trail,
+        parts.dialect.configuration_stream,
     )
     registry_body = registry(
         parts.registry,
@@ -166,7 +172,7 @@
             )
             parts.trail.tell(record)
             return
-        parts.registry.tell(ConfigurationReceived(configuration, raw, "log"))
+        parts.registry.tell(ConfigurationReceived(configuration, raw, LOG_SOURCE))
 
     return on_values
 
@@ -180,7 +186,7 @@
             record = EventRecord(Event.STATE_UNREADABLE, fields, Importance.FAILURE)
             parts.trail.tell(record)
         if servers:
-            parts.registry.tell(ServersReceived(servers, "log"))
+            parts.registry.tell(ServersReceived(servers, LOG_SOURCE))
 
     return on_values
 
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -57,6 +57,8 @@
 _RECENT_CHANGE_S = 5.0
 # Bits of the identity of a process.
 _IDENTITY_BITS = 48
+# Source of what comes from the log itself, in messages and log lines.
+LOG_SOURCE = "log"
 # Heartbeats up to this number show that a backend server has just started.
 _MAX_FIRST_SEQUENCE = 2
 
@@ -77,6 +79,8 @@
     :param identity: identity of this process, for nodes that follow it.
     :param change: number of the last change of a server.
     :param changes: number of the last change of each server.
+    :param unconfirmed: newest configuration from a peer, until the log has answered or
+        has turned this node away for the first time.
     :param held: questions of nodes that follow this one, to be answered with the next
         configuration.
     """
@@ -90,6 +94,7 @@
     identity: int = field(default_factory=lambda: getrandbits(_IDENTITY_BITS))
     change: int = 0
     changes: dict[Address, int] = field(default_factory=dict)
+    unconfirmed: ConfigurationReceived | None = None
     held: list[AskNews] = field(default_factory=list)
 
 
@@ -101,6 +106,7 @@
     :param configuration: the configuration in force; ``None`` until one is received.
     :param unsaved: states of the local backend server that are to be appended to the
         log.
+    :param configuration_stream: stream of the log that holds the configuration.
     """
 
     configuration: Latest[Configuration | None]
@@ -108,6 +114,7 @@
     placer: Mailbox[PlacerMessage]
     unsaved: Mailbox[BackendServer]
     trail: Mailbox[TrailMessage]
+    configuration_stream: str
 
 
 @final
@@ -244,6 +251,10 @@
     previous = state.port.configuration.value
     if previous is not None and previous.version >= message.configuration.version:
         return
+    if previous is None and message.source != LOG_SOURCE and not _has_heard_log(state):
+        # A peer may have missed a later version, which the log would show.
+        _hold_unconfirmed(state.registry, message)
+        return
     state.registry.raw = message.raw
     state.port.configuration.tell(message.configuration)
     _answer_held(state, now)
@@ -261,6 +272,19 @@
     )
 
 
+def _has_heard_log(state: _TaskState) -> bool:
+    source = state.port.configuration_stream
+    return source in state.registry.answered_at or source in state.registry.faults
+
+
+def _hold_unconfirmed(
+    registry_state: RegistryState, message: ConfigurationReceived
+) -> None:
+    held = registry_state.unconfirmed
+    if held is None or held.configuration.version < message.configuration.version:
+        registry_state.unconfirmed = message
+
+
 def _answer_ages_ms(registry_state: RegistryState, now: float) -> dict[str, int]:
     return {
         source: int((now - answered_at) * 1000)
@@ -277,6 +301,7 @@
     else:
         state.registry.faults[message.source] = message.fault
         _answer_held(state, now)
+        _use_unconfirmed(state, message.source, now)
     if (previous_fault is None) is not (message.fault is None):
         event = Event.LOG_AVAILABLE if message.fault is None else Event.LOG_UNAVAILABLE
         fields = {
@@ -287,6 +312,13 @@
         state.port.trail.tell(EventRecord(event, fields))
 
 
+def _use_unconfirmed(state: _TaskState, source: str, now: float) -> None:
+    held = state.registry.unconfirmed
+    if held is not None and source == state.port.configuration_stream:
+        state.registry.unconfirmed = None
+        _configuration_received(state, held, now)
+
+
 def _log_not_read(state: _TaskState, message: LogNotRead, now: float) -> None:
     state.registry.faults.pop(message.source, None)
     state.registry.answered_at.pop(message.source, None)
--- a/testing/fleet/test_registry.py
+++ b/testing/fleet/test_registry.py
@@ -27,7 +27,12 @@
         self.inbox: Mailbox[RegistryMessage] = Mailbox(100)
         self.trail: Mailbox[TrailMessage] = Mailbox(100)
         port = RegistryPort(
-            Latest(None), Mailbox(100), Mailbox(100), Mailbox(100), self.trail
+            Latest(None),
+            Mailbox(100),
+            Mailbox(100),
+            Mailbox(100),
+            self.trail,
+            "keyed.op",
         )
         body = registry(
             self.inbox, RegistryState(), port, server(1).address, lambda: self.now
@@ -73,3 +78,37 @@
         assert fields["log_answer_age_ms"] == 21_500
 
     asyncio.run(scenario())
+
+
+def test_fresh_node_waits_for_the_log_before_it_takes_a_version_of_a_peer() -> None:
+    """The peer may have missed that the version was replaced."""
+
+    async def scenario() -> None:
+        running = RunningRegistry()
+        await running.life.started()
+        running.inbox.tell(ConfigurationReceived(Configuration(7, {}), b"7", "peer"))
+        assert not running.events(Event.CONFIGURATION_IN_FORCE)
+        running.inbox.tell(LogHealth("keyed.op", None))
+        running.inbox.tell(ConfigurationReceived(Configuration(9, {}), b"9", "log"))
+        (fields,) = running.events(Event.CONFIGURATION_IN_FORCE)
+        running.task.cancel()
+
+        assert (fields["version"], fields["before"]) == (9, 0)
+
+    asyncio.run(scenario())
+
+
+def test_fresh_node_takes_the_newest_version_of_its_peers_without_the_log() -> None:
+    async def scenario() -> None:
+        running = RunningRegistry()
+        await running.life.started()
+        for version in (7, 8, 6):
+            configuration = Configuration(version, {})
+            running.inbox.tell(ConfigurationReceived(configuration, b"", "peer"))
+        running.inbox.tell(LogHealth("keyed.op", "down"))
+        (fields,) = running.events(Event.CONFIGURATION_IN_FORCE)
+        running.task.cancel()
+
+        assert fields["version"] == 8
+
+    asyncio.run(scenario())
