Direct readers of a large zone read states in longer batches; test hosts never run out

Change: nodes that follow relays pause 1.5 s after a read of states while they read the log themselves; the first in rank reads as a relay from the start.

--- a/src/_masticspoke/decisions/fleet/relays.py
+++ b/src/_masticspoke/decisions/fleet/relays.py
@@ -36,6 +36,9 @@
 # Long polls of the configuration by a relay and by other nodes, seconds.
 RELAY_READ_WAIT_S = 1.0
 READ_WAIT_S = 2.0
+# Pauses after a read of states of backend servers, which often change together, by
+# whether the node may have to tell others at once, seconds.
+STATES_PAUSE_S = {True: 0.4, False: 1.5}
 # Age of the log's last answer above which a relay has failed, seconds. Below, it may
 # only have become a relay just now.
 MAX_USUAL_AGE_S = 2.8
@@ -58,6 +61,8 @@
 
     :param host: IP address of this node.
     :param relay: IP address of the node that it follows; empty while it reads the log.
+    :param is_first: whether it is among the first in rank, which others will ask.
+    :param is_zone_large: whether nodes of its zone follow relays.
     :param asked_at: time at which another node last asked it as a relay.
     :param failures: relays that have failed, by IP address.
     """
@@ -65,6 +70,8 @@
     host: str
     zone: str
     relay: str = ""
+    is_first: bool = False
+    is_zone_large: bool = False
     asked_at: float | None = None
     failures: dict[str, _Failure] = field(default_factory=dict)
 
@@ -76,7 +83,16 @@
 
 def read_wait_s(state: RelayState, now: float) -> float:
     """Return how long a read of the configuration waits for a new version, seconds."""
-    return RELAY_READ_WAIT_S if is_relay(state, now) else READ_WAIT_S
+    return RELAY_READ_WAIT_S if _tells_others(state, now) else READ_WAIT_S
+
+
+def states_pause_s(state: RelayState, now: float) -> float:
+    """Return the pause after a read of states of backend servers, seconds."""
+    return STATES_PAUSE_S[_tells_others(state, now) or not state.is_zone_large]
+
+
+def _tells_others(state: RelayState, now: float) -> bool:
+    return state.is_first or is_relay(state, now)
 
 
 def choose_relay(
@@ -86,19 +102,20 @@
 
     :param servers: states of all backend servers; one node is beside each.
     """
-    if is_relay(state, now):
-        return None
     hosts = {
         server.address.host
         for server in servers
         if server.zone == state.zone and server.phase is Phase.READY
     }
-    if len(hosts) < MIN_ZONE_NODES:
+    state.is_zone_large = len(hosts) >= MIN_ZONE_NODES
+    state.is_first = False
+    if not state.is_zone_large:
         return None
     usable = [host for host in hosts if not _has_failed(state, host, now)]
     ranked = sorted(usable, key=lambda host: (_weight(host), host))
     relays = ranked[: ceil(len(hosts) / NODES_PER_RELAY)]
-    if not relays or state.host in relays:
+    state.is_first = state.host in relays
+    if not relays or state.is_first or is_relay(state, now):
         return None
     return relays[_weight(state.host) % len(relays)]
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -19,6 +19,7 @@
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.decisions.fleet.model import limits_of
+from _masticspoke.decisions.fleet.relays import states_pause_s
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import AskCounts
 from _masticspoke.fleet.counts import Counts
@@ -73,8 +74,6 @@
 # A follower whose log answers nothing more notices it within this time and the margin
 # of a poll. States of backend servers also come from peers.
 _STATES_READ_WAIT_S = 5.0
-# States of backend servers often change together: read them in one batch.
-_STATES_BATCH_PAUSE_S = 0.4
 _CLOSE_TIMEOUT_S = 1.0
 # Time between two checks for connections that are idle or slow beyond the limits.
 _CLIENTS_SWEEP_INTERVAL_S = 1.0
@@ -117,7 +116,7 @@
         Following(
             parts.dialect.configuration_stream,
             read_wait_s=lambda: parts.configuration_wait_s.value,
-            batch_pause_s=0.0,
+            batch_pause_s=lambda: 0.0,
             active=parts.reads_log,
         ),
         _on_configuration(parts),
@@ -128,7 +127,7 @@
         Following(
             parts.dialect.servers_stream,
             read_wait_s=lambda: _STATES_READ_WAIT_S,
-            batch_pause_s=_STATES_BATCH_PAUSE_S,
+            batch_pause_s=lambda: states_pause_s(parts.relay_state, boot_clock()),
             active=parts.reads_log,
         ),
         _on_states(parts),
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/followers.py
@@ -55,14 +55,14 @@
 
     :param read_wait_s: long poll: returns the time that a read at the end of the stream
         waits for a new record. A read that has gone silent is noticed this much later.
-    :param batch_pause_s: pause after a read with records, so that the next read
-        returns many.
+    :param batch_pause_s: returns the pause after a read with records, so that the next
+        read returns many.
     :param active: off while the node follows the log through another node.
     """
 
     stream: str
     read_wait_s: Callable[[], float]
-    batch_pause_s: float
+    batch_pause_s: Callable[[], float]
     active: Switch
 
 
@@ -141,8 +141,9 @@
         registry.tell(LogHealth(stream, None))
         on_values(_last_values(result))
         offset = result.next_offset
-        if result.records and following.batch_pause_s > 0:
-            await asyncio.sleep(following.batch_pause_s)
+        pause_s = following.batch_pause_s() if result.records else 0.0
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
     return None, True
 
 
--- a/testing/decisions/fleet/test_relays.py
+++ b/testing/decisions/fleet/test_relays.py
@@ -21,6 +21,8 @@
 from _masticspoke.decisions.fleet.relays import record_asked
 from _masticspoke.decisions.fleet.relays import record_failure
 from _masticspoke.decisions.fleet.relays import RelayState
+from _masticspoke.decisions.fleet.relays import STATES_PAUSE_S
+from _masticspoke.decisions.fleet.relays import states_pause_s
 from _masticspoke.model import Address
 
 # The platform's tightest bound on a configuration, and the margins of a relay's answer
@@ -146,3 +148,22 @@
 
 def test_version_is_in_force_in_time_when_the_relay_falls_silent() -> None:
     assert MAX_HOLD_S + ANSWER_MARGIN_S + READ_S <= PROPAGATION_S
+
+
+def test_node_that_others_will_ask_reads_the_log_as_a_relay_does() -> None:
+    nodes = zone(20)
+    states = [state_of(node) for node in nodes]
+    first = [s for s in states if choose_relay(s, nodes, 0.0) is None]
+    other = next(s for s in states if s not in first)
+
+    assert len(first) == 1
+    assert read_wait_s(first[0], 0.0) < read_wait_s(other, 0.0)
+    assert states_pause_s(first[0], 0.0) < states_pause_s(other, 0.0)
+
+
+def test_node_of_a_small_zone_reads_states_soon() -> None:
+    nodes = zone(5)
+    node = state_of(nodes[0])
+    choose_relay(node, nodes, 0.0)
+
+    assert states_pause_s(node, 0.0) == STATES_PAUSE_S[True]
--- a/testing/fleet/platform_fleet.py
+++ b/testing/fleet/platform_fleet.py
@@ -32,7 +32,16 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 
 HOST = "shop.example"
-_HOST_NUMBERS = count(2)
+_HOST_NUMBERS = count()
+
+
+def _new_host() -> str:
+    """Return a loopback address that no other node of the test run has had.
+
+    Addresses with 2 in the third place are left to other stand-ins.
+    """
+    network, number = divmod(next(_HOST_NUMBERS), 250)
+    return f"127.0.{1 + 2 * network}.{2 + number}"
 
 
 @dataclass
@@ -81,7 +90,7 @@
 
         :param options: further arguments of :class:`PlatformBackend`.
         """
-        host = f"127.0.1.{next(_HOST_NUMBERS)}"
+        host = _new_host()
         # The log service tells the nodes apart by the address that they call.
         await web.TCPSite(self.runner, host, self.log_port).start()
         clients, nodes, readiness, control_plane, backend_port, metrics = self.ports
