A node asks its relay at most ten times a second

Cause, found by reading the change: a relay answers at once while the node's version is older, and a configuration that can't be read here (a relay of another build) leaves it older, so the node asked in a loop without a pause: 2,354 requests in a second.

Change: 0.1 s between two questions, and news that can't be read count as silence.

--- a/src/_masticspoke/fleet/relaying.py
+++ b/src/_masticspoke/fleet/relaying.py
@@ -54,8 +54,10 @@
 RelayMessage = RelayAsked | ChooseRelay | RelayAnswered | RelaySilent
 # A relay's answer may take this much longer than it may be held, seconds.
 _ANSWER_MARGIN_S = 0.4
-# Mean pause before a relay is looked for again, seconds.
+# Mean pause before a relay is looked for again, and the pause before one that has
+# answered is asked again, seconds.
 _RETRY_PAUSE_S = 1.0
+_NEXT_PAUSE_S = 0.1
 
 
 @final
@@ -168,8 +170,9 @@
                 answer = await _follow(port, host, request)
             if host is not None and answer is None:
                 port.chooser.tell(RelaySilent(host))
-            if answer is None or _is_behind(answer):
-                await life.stops_within(_RETRY_PAUSE_S * random.uniform(0.5, 1.5))
+            retries = answer is None or _is_behind(answer)
+            pause_s = _RETRY_PAUSE_S * random.uniform(0.5, 1.5)
+            await life.stops_within(pause_s if retries else _NEXT_PAUSE_S)
             last = answer or last
 
     return run
@@ -193,7 +196,10 @@
 async def _follow(
     port: RelayPort, host: str, request: FollowRequest
 ) -> FollowAnswer | None:
-    """Ask a relay and pass on its news; return ``None`` if it doesn't answer."""
+    """Ask a relay and pass on its news.
+
+    :return: ``None`` if it doesn't answer, or with news that can't be read here.
+    """
     address = Address(host, port.peer_port)
     exchange = port.connections.request(
         address,
@@ -209,21 +215,24 @@
             answer = decode_follow_answer(body) if ended else None
     except (ExpiredError, aiohttp.ClientError, ConnectionError):
         return None  # the chooser logs that the relay is silent
-    if answer is None:
+    if answer is None or not _send_to_registry(port, answer, f"relay {host}"):
         return None
-    _send_to_registry(port, answer, f"relay {host}")
     age_ms = answer.log_age_ms
     port.chooser.tell(RelayAnswered(host, None if age_ms is None else age_ms / 1000))
     return answer
 
 
-def _send_to_registry(port: RelayPort, answer: FollowAnswer, source: str) -> None:
+def _send_to_registry(port: RelayPort, answer: FollowAnswer, source: str) -> bool:
+    """Return whether the configuration can be read, if there is a newer one."""
     if answer.servers:
         port.registry.tell(ServersReceived(answer.servers, source))
-    if answer.raw:
-        configuration = port.dialect.decode_configuration(answer.raw)
-        if configuration is not None:
-            port.registry.tell(ConfigurationReceived(configuration, answer.raw, source))
+    if not answer.raw:
+        return True
+    configuration = port.dialect.decode_configuration(answer.raw)
+    if configuration is None:
+        return False
+    port.registry.tell(ConfigurationReceived(configuration, answer.raw, source))
+    return True
 
 
 def follow_handler(port: RelayPort) -> Handler:
--- a/testing/decisions/fleet/test_relays.py
+++ b/testing/decisions/fleet/test_relays.py
@@ -29,6 +29,7 @@
 # and of one read of the log, seconds.
 PROPAGATION_S = 2.0
 ANSWER_MARGIN_S = 0.4
+NEXT_PAUSE_S = 0.1
 READ_S = 0.1
 
 
@@ -147,7 +148,7 @@
 
 
 def test_version_is_in_force_in_time_when_the_relay_falls_silent() -> None:
-    assert MAX_HOLD_S + ANSWER_MARGIN_S + READ_S <= PROPAGATION_S
+    assert NEXT_PAUSE_S + MAX_HOLD_S + ANSWER_MARGIN_S + READ_S <= PROPAGATION_S
 
 
 def test_node_that_others_will_ask_reads_the_log_as_a_relay_does() -> None:
--- a/testing/fleet/test_relaying.py
+++ b/testing/fleet/test_relaying.py
@@ -4,15 +4,23 @@
 
 import asyncio
 from pathlib import Path
+from zlib import crc32
 
 import pytest
+from aiohttp import web
+from testing.decisions.fleet.samples import server
 from testing.fleet.platform_fleet import Node
 from testing.fleet.platform_fleet import PlatformFleet
 from testing.fleet.platform_fleet import run_scenario
 from testing.fleet.platform_fleet import wait_until
 from testing.fleet.test_path import READ
 
+from _masticspoke.border.follow import encode_follow_answer
+from _masticspoke.border.follow import FOLLOW_PATH
+from _masticspoke.border.follow import FollowAnswer
 from _masticspoke.decisions.fleet.relays import MIN_ZONE_NODES
+from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.model import Address
 
 # The platform's tightest bound on a configuration, seconds.
 PROPAGATION_S = 2.0
@@ -142,3 +150,46 @@
         await relay.task
 
     run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("raw", [b"unreadable", b""])
+def test_relay_that_answers_at_once_is_not_asked_in_a_loop(
+    tmp_path: Path, raw: bytes
+) -> None:
+    """It may be of another build, whose configuration can't be read here."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        asked = 0
+
+        async def answer_at_once(request: web.BaseRequest) -> web.Response:
+            nonlocal asked
+            if request.path != FOLLOW_PATH:
+                return web.Response(status=404)
+            asked += 1
+            answer = FollowAnswer(1, asked, raw, (), 0)
+            return web.Response(body=encode_follow_answer(answer))
+
+        fleet.publish(READ)
+        node = await fleet.add("desk")
+        await fleet.wait_until_synchronised()
+        runner = web.ServerRunner(web.Server(answer_at_once))
+        await runner.setup()
+        peers = [
+            server(address=Address(f"127.0.2.{210 + number}", 80), zone="z1")
+            for number in range(MIN_ZONE_NODES)
+        ]
+        for peer in peers:
+            port = node.parts.settings.nodes.port
+            await web.TCPSite(runner, peer.address.host, port).start()
+        # The others are then first in rank, whatever the own address is.
+        node.parts.relay_state.host = max(
+            (peer.address.host for peer in peers), key=lambda h: crc32(h.encode())
+        )
+        node.parts.registry.tell(ServersReceived(tuple(peers), "test"))
+        await wait_until(lambda: asked > 0)
+        before = asked
+        await asyncio.sleep(1.0)
+        assert asked - before <= 12
+        await runner.cleanup()
+
+    run_scenario(tmp_path, scenario)
