Messages of relays in a module of their own; unused checks of the own client removed

The pool has its own connection class, so the id check and the records of resets in connections.py had no caller left; the same checks are in http_connection.py, with their tests. No change of behaviour.

--- a/src/_masticspoke/connections.py
+++ b/src/_masticspoke/connections.py
@@ -65,49 +65,18 @@
         self._awaits_head = False
         self._head_bytes = 0
         self._heads = 0
-        self._requests = 0
-        self._reset = False
-        self._expected_echo: tuple[str, str] | None = None
-
-    @property
-    def was_reset(self) -> bool:
-        """Whether the connection ended with an error."""
-        return self._reset
-
-    @property
-    def was_reused(self) -> bool:
-        """Whether the request is not the first one on the connection."""
-        return self._requests > 1
-
-    def expect_echo(self, header: str, value: str | None) -> None:
-        """Accept only an answer whose ``header`` is ``value`` or absent.
-
-        ``None`` accepts any answer.
-        """
-        self._expected_echo = None if value is None else (header, value)
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the answer to the next request."""
         self._awaits_head = True
         self._head_bytes = self._heads = 0
-        self._requests += 1
         super().set_response_params(**options)
 
     async def read(self) -> Any:
-        """Return the head and body of the answer; discard those of earlier requests."""
-        while True:
-            head, body = await super().read()
-            if self._matches_echo(head):
-                self._awaits_head = False
-                return head, body
-            await body.read()
-
-    def _matches_echo(self, head: Any) -> bool:
-        # A late second answer to an earlier request can arrive first.
-        if self._expected_echo is None:
-            return True
-        header, value = self._expected_echo
-        return bool(head.headers.get(header, value) == value)
+        """Read the head and body of the answer."""
+        answer = await super().read()
+        self._awaits_head = False
+        return answer
 
     def data_received(self, data: bytes) -> None:
         """Parse data of an expected answer; abort the connection on any other data."""
@@ -143,11 +112,6 @@
         if body is not None and not body.is_eof():
             body.set_exception(aiohttp.ClientPayloadError("the connection was aborted"))
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection ended with an error."""
-        self._reset = exc is not None
-        super().connection_lost(exc)
-
 
 @final
 class _Connector(aiohttp.TCPConnector):
--- a/src/_masticspoke/decisions/fleet/relays.py
+++ b/src/_masticspoke/decisions/fleet/relays.py
@@ -100,6 +100,8 @@
 ) -> str | None:
     """Return the IP address of the node to ask; ``None`` to read the log.
 
+    Also records the own rank and whether the zone is large.
+
     :param servers: states of all backend servers; one node is beside each.
     """
     hosts = {
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -18,7 +18,6 @@
 from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import AskLocalBackend
-from _masticspoke.fleet.messages import AskNews
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import Deregistered
@@ -27,11 +26,12 @@
 from _masticspoke.fleet.messages import LocalBackendState
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
-from _masticspoke.fleet.messages import News
 from _masticspoke.fleet.messages import RegistrySnapshot
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.fleet.relay_messages import AskNews
+from _masticspoke.fleet.relay_messages import News
 from _masticspoke.model import Address
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
