--- a/review/1/case.py
+++ b/review/1/case.py
@@ -74,7 +74,17 @@
     await fleet.start_log()
     routes: list[list[object]] = [
         ["check", f.HOST, "/check/", "idempotent", 1200, 1500, 1, 2, "tooling-desk"],
-        ["order", f.HOST, "/order/", "non_idempotent", 1500, 2000, 1, 2, "tooling-desk"],
+        [
+            "order",
+            f.HOST,
+            "/order/",
+            "non_idempotent",
+            1500,
+            2000,
+            1,
+            2,
+            "tooling-desk",
+        ],
     ]
     await fleet.publish(routes, SERVICES)
     servers = Servers(fleet, record)
@@ -109,7 +119,9 @@
     since = servers.crashes[2] + SETTLE_S
     runs = [r for b in servers.all for r in b.runs if r.path == CRASH_PATH]
     retries = {run.request_id for run in runs if run.at > since}
-    record(f"retries that reached servers over 3 s after the third crash: {len(retries)}")
+    record(
+        f"retries that reached servers over 3 s after the third crash: {len(retries)}"
+    )
     return len(retries) > RETRIES
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A node that was killed right after it acknowledged a leave lets the server in again."""
+"""A node killed right after it acknowledged a leave lets the server in again."""
 
 from __future__ import annotations
 
@@ -33,7 +33,19 @@
 async def play(fleet: f.Fleet, record: f.Record) -> bool:
     await fleet.start_log()
     await fleet.publish(
-        [["order", f.HOST, "/order/", "non_idempotent", 1500, 2000, 1, 2, "tooling-desk"]],
+        [
+            [
+                "order",
+                f.HOST,
+                "/order/",
+                "non_idempotent",
+                1500,
+                2000,
+                1,
+                2,
+                "tooling-desk",
+            ]
+        ],
         ["tooling-desk", "inspect-desk"],
     )
     machine, entry = fleet.nodes
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -1,4 +1,4 @@
-"""A small deployment for the review: nodes as the deploy file starts them, and stand-ins.
+"""A small deployment: nodes as the deploy file starts them, and stand-ins.
 
 Nodes and the log service run as separate processes; backend servers, clients and the
 operator are tasks of the script. Every address is a loopback address.
@@ -249,7 +249,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         line, headers = head
-        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        await reader.readexactly(int(headers.get("content-length", "0")))
         path = line.split(" ")[1]
         names = {"X-Instance-Id": self.instance}
         if path == "/health":
@@ -282,7 +282,6 @@
         await writer.drain()
         run.ended = "answered"
         self.record(f"{self.instance} answered {request_id}")
-        del body
 
     async def _work(self, path: str, reader: asyncio.StreamReader, run: Run) -> bool:
         """Work; return whether the connection was open all the while."""
@@ -456,7 +455,9 @@
     async def is_ready(self) -> bool:
         try:
             async with asyncio.timeout(1.0):
-                return (await request(self.readiness, "GET", "/readiness")).status == 200
+                return (
+                    await request(self.readiness, "GET", "/readiness")
+                ).status == 200
         except (OSError, TimeoutError, EOFError):
             return False
 
@@ -578,7 +579,7 @@
 def main(
     folder: Path, case: Callable[[Record], Awaitable[bool]], limit_s: float = 110.0
 ) -> None:
-    """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run."""
+    """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
     record = Record(folder / "record.txt")
 
     async def limited() -> bool:
