Registry: state and answers in modules of their own

Change: its state and ports move to registry_state.py, its answers to other tasks and nodes to registry_news.py. No behaviour changes.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -46,7 +46,7 @@
 from _masticspoke.fleet.probe import ProbePort
 from _masticspoke.fleet.registry import LOG_SOURCE
 from _masticspoke.fleet.registry import registry
-from _masticspoke.fleet.registry import RegistryPort
+from _masticspoke.fleet.registry_state import RegistryPort
 from _masticspoke.fleet.relaying import follow_handler
 from _masticspoke.fleet.relaying import relay_chooser
 from _masticspoke.fleet.relaying import relay_follower
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -23,7 +23,7 @@
 from _masticspoke.fleet.placer import PlacerMessage
 from _masticspoke.fleet.placer import PlacerState
 from _masticspoke.fleet.registry import RegistryMessage
-from _masticspoke.fleet.registry import RegistryState
+from _masticspoke.fleet.registry_state import RegistryState
 from _masticspoke.fleet.relaying import RelayMessage
 from _masticspoke.fleet.run_recorder import RunRecorderMessage
 from _masticspoke.fleet.run_recorder import RunRecorderState
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -2,21 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
-from random import getrandbits
-from typing import final
 
 from _masticspoke.decisions.fleet import members
-from _masticspoke.decisions.fleet.members import Members
 from _masticspoke.decisions.fleet.model import BackendServer
-from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.events import Event
-from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.event_record import EventRecord
-from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import AskLocalBackend
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
@@ -26,14 +18,17 @@
 from _masticspoke.fleet.messages import LocalBackendState
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
-from _masticspoke.fleet.messages import RegistrySnapshot
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersReceived
-from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.fleet.registry_news import answer_held
+from _masticspoke.fleet.registry_news import ask_news
+from _masticspoke.fleet.registry_news import ask_registry_snapshot
+from _masticspoke.fleet.registry_state import answer_ages_ms
+from _masticspoke.fleet.registry_state import RegistryPort
+from _masticspoke.fleet.registry_state import RegistryState
+from _masticspoke.fleet.registry_state import RegistryTask
 from _masticspoke.fleet.relay_messages import AskNews
-from _masticspoke.fleet.relay_messages import News
 from _masticspoke.model import Address
-from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
@@ -53,78 +48,12 @@
     | AskLocalBackend
     | LocalBackendConfirmed
 )
-# For this long, a change is sent with each exchange that this node starts with a peer.
-_RECENT_CHANGE_S = 5.0
-# Bits of the identity of a process.
-_IDENTITY_BITS = 48
 # Source of what comes from the log itself, in messages and log lines.
 LOG_SOURCE = "log"
 # Heartbeats up to this number show that a backend server has just started.
 _MAX_FIRST_SEQUENCE = 2
 
 
-@final
-@dataclass(slots=True)
-class RegistryState:
-    """State that outlives a crash of the task.
-
-    Neither a server's state nor the configuration version goes back at a restart.
-
-    :param raw: configuration in force, as the operator published it.
-    :param faults: current errors of access to the log, by :attr:`LogHealth.source`.
-    :param answered_at: time of the log's last answer, by :attr:`LogHealth.source`.
-    :param changed_at: time of the last change of each server.
-    :param local_heartbeat_received: whether the local backend server has sent this node
-        a heartbeat.
-    :param identity: identity of this process, for nodes that follow it.
-    :param change: number of the last change of a server.
-    :param changes: number of the last change of each server.
-    :param unconfirmed: newest configuration from a peer, until the log has answered or
-        has turned this node away for the first time.
-    :param held: questions of nodes that follow this one, to be answered with the next
-        configuration.
-    """
-
-    members: Members = field(default_factory=Members)
-    raw: bytes = b""
-    faults: dict[str, str] = field(default_factory=dict)
-    answered_at: dict[str, float] = field(default_factory=dict)
-    changed_at: dict[Address, float] = field(default_factory=dict)
-    local_heartbeat_received: bool = False
-    identity: int = field(default_factory=lambda: getrandbits(_IDENTITY_BITS))
-    change: int = 0
-    changes: dict[Address, int] = field(default_factory=dict)
-    unconfirmed: ConfigurationReceived | None = None
-    held: list[AskNews] = field(default_factory=list)
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class RegistryPort:
-    """Where the registry sends or publishes changes.
-
-    :param configuration: the configuration in force; ``None`` until one is received.
-    :param unsaved: states of the local backend server that are to be appended to the
-        log.
-    :param configuration_stream: stream of the log that holds the configuration.
-    """
-
-    configuration: Latest[Configuration | None]
-    gate: Mailbox[GateMessage]
-    placer: Mailbox[PlacerMessage]
-    unsaved: Mailbox[BackendServer]
-    trail: Mailbox[TrailMessage]
-    configuration_stream: str
-
-
-@final
-@dataclass(slots=True)
-class _TaskState:
-    registry: RegistryState
-    port: RegistryPort
-    backend_address: Address
-
-
 def registry(
     inbox: Mailbox[RegistryMessage],
     registry_state: RegistryState,
@@ -138,14 +67,14 @@
     """
 
     async def run(life: Lifecycle) -> None:
-        state = _TaskState(registry_state, port, backend_address)
+        state = RegistryTask(registry_state, port, backend_address)
         _send_servers(state, ())
         await serve_at_once(inbox, state, _HANDLERS, clock, life)
 
     return run
 
 
-def _heartbeat(state: _TaskState, message: Heartbeat, now: float) -> None:
+def _heartbeat(state: RegistryTask, message: Heartbeat, now: float) -> None:
     state.registry.local_heartbeat_received = True
     changed = _merge_servers(state, (message.server,), "heartbeat", now)
     local_server = state.registry.members.by_address.get(state.backend_address)
@@ -157,7 +86,7 @@
     message.reply.answer(True)
 
 
-def _deregistered(state: _TaskState, message: Deregistered, now: float) -> None:
+def _deregistered(state: RegistryTask, message: Deregistered, now: float) -> None:
     local_server = state.registry.members.by_address.get(state.backend_address)
     if local_server is not None and _is_same_instance(message, local_server):
         updated = replace(local_server, phase=max(local_server.phase, message.phase))
@@ -167,7 +96,9 @@
     message.reply.answer(True)
 
 
-def _ask_local_backend(state: _TaskState, message: AskLocalBackend, now: float) -> None:
+def _ask_local_backend(
+    state: RegistryTask, message: AskLocalBackend, now: float
+) -> None:
     local_server = state.registry.members.by_address.get(state.backend_address)
     message.reply.answer(
         None if state.registry.local_heartbeat_received else local_server
@@ -175,7 +106,7 @@
 
 
 def _local_backend_confirmed(
-    state: _TaskState, message: LocalBackendConfirmed, now: float
+    state: RegistryTask, message: LocalBackendConfirmed, now: float
 ) -> None:
     local_server = state.registry.members.by_address.get(state.backend_address)
     if local_server == message.server and not state.registry.local_heartbeat_received:
@@ -188,14 +119,16 @@
     return message.born_ms is None or message.born_ms == server.born_ms
 
 
-def _servers_received(state: _TaskState, message: ServersReceived, now: float) -> None:
+def _servers_received(
+    state: RegistryTask, message: ServersReceived, now: float
+) -> None:
     accepted = tuple(s for s in message.servers if _is_accepted(state, s))
     for server in _merge_servers(state, accepted, message.source, now):
         if server.address == state.backend_address and server.phase is not Phase.READY:
             state.port.gate.tell(LocalBackendState(server))
 
 
-def _is_accepted(state: _TaskState, server: BackendServer) -> bool:
+def _is_accepted(state: RegistryTask, server: BackendServer) -> bool:
     """Return whether a state from the log or a peer may be merged.
 
     The local backend server's heartbeats are newer than its state from other sources,
@@ -213,7 +146,7 @@
 
 
 def _merge_servers(
-    state: _TaskState, servers: tuple[BackendServer, ...], source: str, now: float
+    state: RegistryTask, servers: tuple[BackendServer, ...], source: str, now: float
 ) -> tuple[BackendServer, ...]:
     changed = tuple(members.merge(state.registry.members, servers))
     for server in changed:
@@ -240,13 +173,13 @@
     }
 
 
-def _send_servers(state: _TaskState, changed: tuple[BackendServer, ...]) -> None:
+def _send_servers(state: RegistryTask, changed: tuple[BackendServer, ...]) -> None:
     servers = tuple(state.registry.members.by_address.values())
     state.port.placer.tell(ServersChanged(servers, changed))
 
 
 def _configuration_received(
-    state: _TaskState, message: ConfigurationReceived, now: float
+    state: RegistryTask, message: ConfigurationReceived, now: float
 ) -> None:
     previous = state.port.configuration.value
     if previous is not None and previous.version >= message.configuration.version:
@@ -257,7 +190,7 @@
         return
     state.registry.raw = message.raw
     state.port.configuration.tell(message.configuration)
-    _answer_held(state, now)
+    answer_held(state, now)
     state.port.trail.tell(
         EventRecord(
             Event.CONFIGURATION_IN_FORCE,
@@ -266,13 +199,13 @@
                 "before": 0 if previous is None else previous.version,
                 "routes": len(message.configuration.routes),
                 "source": message.source,
-                "log_answer_age_ms": _answer_ages_ms(state.registry, now),
+                "log_answer_age_ms": answer_ages_ms(state.registry, now),
             },
         )
     )
 
 
-def _has_heard_log(state: _TaskState) -> bool:
+def _has_heard_log(state: RegistryTask) -> bool:
     source = state.port.configuration_stream
     return source in state.registry.answered_at or source in state.registry.faults
 
@@ -285,22 +218,15 @@
         registry_state.unconfirmed = message
 
 
-def _answer_ages_ms(registry_state: RegistryState, now: float) -> dict[str, int]:
-    return {
-        source: int((now - answered_at) * 1000)
-        for source, answered_at in registry_state.answered_at.items()
-    }
-
-
-def _log_health(state: _TaskState, message: LogHealth, now: float) -> None:
+def _log_health(state: RegistryTask, message: LogHealth, now: float) -> None:
     previous_fault = state.registry.faults.get(message.source)
-    ages_ms = _answer_ages_ms(state.registry, now)
+    ages_ms = answer_ages_ms(state.registry, now)
     if message.fault is None:
         state.registry.faults.pop(message.source, None)
         state.registry.answered_at[message.source] = now
     else:
         state.registry.faults[message.source] = message.fault
-        _answer_held(state, now)
+        answer_held(state, now)
         _use_unconfirmed(state, message.source, now)
     if (previous_fault is None) is not (message.fault is None):
         event = Event.LOG_AVAILABLE if message.fault is None else Event.LOG_UNAVAILABLE
@@ -312,88 +238,27 @@
         state.port.trail.tell(EventRecord(event, fields))
 
 
-def _use_unconfirmed(state: _TaskState, source: str, now: float) -> None:
+def _use_unconfirmed(state: RegistryTask, source: str, now: float) -> None:
     held = state.registry.unconfirmed
     if held is not None and source == state.port.configuration_stream:
         state.registry.unconfirmed = None
         _configuration_received(state, held, now)
 
 
-def _log_not_read(state: _TaskState, message: LogNotRead, now: float) -> None:
+def _log_not_read(state: RegistryTask, message: LogNotRead, now: float) -> None:
     state.registry.faults.pop(message.source, None)
     state.registry.answered_at.pop(message.source, None)
 
 
-def _ask_news(state: _TaskState, message: AskNews, now: float) -> None:
-    version = _version(state)
-    if message.hold and message.version >= version:
-        held = state.registry.held
-        held[:] = [question for question in held if not question.reply.abandoned]
-        held.append(message)
-        return
-    message.reply.answer(_news(state, message, now))
-
-
-def _answer_held(state: _TaskState, now: float) -> None:
-    held, state.registry.held = state.registry.held, []
-    for question in held:
-        question.reply.answer(_news(state, question, now))
-
-
-def _news(state: _TaskState, question: AskNews, now: float) -> News:
-    registry_state = state.registry
-    known = question.change if question.relay == registry_state.identity else 0
-    answered_at = registry_state.answered_at.get(question.source)
-    if question.source in registry_state.faults:
-        answered_at = None
-    return News(
-        relay=registry_state.identity,
-        change=registry_state.change,
-        raw=registry_state.raw if _version(state) > question.version else b"",
-        servers=tuple(
-            registry_state.members.by_address[address]
-            for address, number in registry_state.changes.items()
-            if number > known
-        ),
-        log_age_s=None if answered_at is None else now - answered_at,
-    )
-
-
-def _version(state: _TaskState) -> int:
-    configuration = state.port.configuration.value
-    return 0 if configuration is None else configuration.version
-
-
-def _ask_registry_snapshot(
-    state: _TaskState, message: AskRegistrySnapshot, now: float
-) -> None:
-    registry_state = state.registry
-    recent = tuple(
-        registry_state.members.by_address[address]
-        for address, changed_at in registry_state.changed_at.items()
-        if now - changed_at < _RECENT_CHANGE_S
-    )
-    message.reply.answer(
-        RegistrySnapshot(
-            version=_version(state),
-            raw=registry_state.raw,
-            digest=members.digest(registry_state.members),
-            servers=tuple(registry_state.members.by_address.values()),
-            recent=recent,
-            log_available=not registry_state.faults,
-        )
-    )
-
-
-_HANDLERS: Handlers[_TaskState] = {
+_HANDLERS: Handlers[RegistryTask] = {
     Heartbeat: _heartbeat,
     Deregistered: _deregistered,
     ServersReceived: _servers_received,
     ConfigurationReceived: _configuration_received,
     LogHealth: _log_health,
     LogNotRead: _log_not_read,
-    AskNews: _ask_news,
-    AskRegistrySnapshot: _ask_registry_snapshot,
+    AskNews: ask_news,
+    AskRegistrySnapshot: ask_registry_snapshot,
     AskLocalBackend: _ask_local_backend,
     LocalBackendConfirmed: _local_backend_confirmed,
 }
--- /dev/null
+++ b/src/_masticspoke/fleet/registry_state.py
@@ -0,0 +1,104 @@
+"""State of the registry, and where it sends or publishes changes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from random import getrandbits
+from typing import final
+
+from _masticspoke.decisions.fleet.members import Members
+from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.fleet.counts import TrailMessage
+from _masticspoke.fleet.gate import GateMessage
+from _masticspoke.fleet.messages import ConfigurationReceived
+from _masticspoke.fleet.placer import PlacerMessage
+from _masticspoke.fleet.relay_messages import AskNews
+from _masticspoke.model import Address
+from _masticspoke.supervise.latest import Latest
+from _masticspoke.supervise.mailbox import Mailbox
+
+# Bits of the identity of a process.
+_IDENTITY_BITS = 48
+
+
+@final
+@dataclass(slots=True)
+class RegistryState:
+    """State that outlives a crash of the task.
+
+    Neither a server's state nor the configuration version goes back at a restart.
+
+    :param raw: configuration in force, as the operator published it.
+    :param faults: current errors of access to the log, by :attr:`LogHealth.source`.
+    :param answered_at: time of the log's last answer, by :attr:`LogHealth.source`.
+    :param changed_at: time of the last change of each server.
+    :param local_heartbeat_received: whether the local backend server has sent this node
+        a heartbeat.
+    :param identity: identity of this process, for nodes that follow it.
+    :param change: number of the last change of a server.
+    :param changes: number of the last change of each server.
+    :param unconfirmed: newest configuration from a peer, until the log has answered or
+        has turned this node away for the first time.
+    :param held: questions of nodes that follow this one, to be answered with the next
+        configuration.
+    """
+
+    members: Members = field(default_factory=Members)
+    raw: bytes = b""
+    faults: dict[str, str] = field(default_factory=dict)
+    answered_at: dict[str, float] = field(default_factory=dict)
+    changed_at: dict[Address, float] = field(default_factory=dict)
+    local_heartbeat_received: bool = False
+    identity: int = field(default_factory=lambda: getrandbits(_IDENTITY_BITS))
+    change: int = 0
+    changes: dict[Address, int] = field(default_factory=dict)
+    unconfirmed: ConfigurationReceived | None = None
+    held: list[AskNews] = field(default_factory=list)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RegistryPort:
+    """Where the registry sends or publishes changes.
+
+    :param configuration: the configuration in force; ``None`` until one is received.
+    :param unsaved: states of the local backend server that are to be appended to the
+        log.
+    :param configuration_stream: stream of the log that holds the configuration.
+    """
+
+    configuration: Latest[Configuration | None]
+    gate: Mailbox[GateMessage]
+    placer: Mailbox[PlacerMessage]
+    unsaved: Mailbox[BackendServer]
+    trail: Mailbox[TrailMessage]
+    configuration_stream: str
+
+
+@final
+@dataclass(slots=True)
+class RegistryTask:
+    """State and ports of the registry's task.
+
+    :param backend_address: address of the local backend server.
+    """
+
+    registry: RegistryState
+    port: RegistryPort
+    backend_address: Address
+
+
+def version_in_force(state: RegistryTask) -> int:
+    """Return the version of the configuration in force; 0 if there is none."""
+    configuration = state.port.configuration.value
+    return 0 if configuration is None else configuration.version
+
+
+def answer_ages_ms(registry_state: RegistryState, now: float) -> dict[str, int]:
+    """Return the time since the log's last answer, milliseconds, by source."""
+    return {
+        source: int((now - answered_at) * 1000)
+        for source, answered_at in registry_state.answered_at.items()
+    }
--- a/testing/fleet/test_registry.py
+++ b/testing/fleet/test_registry.py
@@ -12,8 +12,8 @@
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.registry import registry
 from _masticspoke.fleet.registry import RegistryMessage
-from _masticspoke.fleet.registry import RegistryPort
-from _masticspoke.fleet.registry import RegistryState
+from _masticspoke.fleet.registry_state import RegistryPort
+from _masticspoke.fleet.registry_state import RegistryState
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
