A request that crashes backend servers is refused by all nodes

Cause: on the platform no node kept what was running when a server crashed, and each attempt of a client is a new request. The lines could not tell a crash from a lost answer. Ruled out: the retry within one attempt, which is allowed. Change: a guard whose run breaks off connects to its server once; if that is refused it logs 4107 and reports the run's fingerprint in a record of the log, which followers, relays and exchanges spread. Three crashes without a success since, and all entries and guards refuse the request for ten minutes (4108, reason quarantined). Crashes count by incarnation, so reports may come late, twice, or from the same moment. To a node of an earlier build the guard says busy, which it can read.

--- a/src/_masticspoke/border/follow.py
+++ b/src/_masticspoke/border/follow.py
@@ -9,9 +9,12 @@
 
 from _masticspoke.border.backend_state import state_from_list
 from _masticspoke.border.backend_state import state_to_list
+from _masticspoke.border.crash_report import report_from_list
+from _masticspoke.border.crash_report import report_to_list
 from _masticspoke.border.json_values import MALFORMED
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.suspects import CrashReport
 
 FOLLOW_PATH = "/.masticspoke/follow"
 MAX_FOLLOW_BYTES = 8 * 2**20
@@ -43,6 +46,8 @@
     :param servers: states that have changed since.
     :param log_age_ms: time since the log last answered the relay, milliseconds;
         ``None`` if it turns the relay away.
+    :param crash_reports: crash reports that have changed since; a relay of an earlier
+        build sends none.
     """
 
     relay: int
@@ -50,6 +55,7 @@
     raw: bytes
     servers: tuple[BackendServer, ...]
     log_age_ms: int | None
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 def encode_follow_request(message: FollowRequest) -> bytes:
@@ -77,6 +83,7 @@
             "configuration": base64.b64encode(message.raw).decode(),
             "servers": [state_to_list(server) for server in message.servers],
             "log_age_ms": message.log_age_ms,
+            "crashes": [report_to_list(report) for report in message.crash_reports],
         },
         separators=(",", ":"),
     ).encode()
@@ -85,11 +92,12 @@
 def decode_follow_answer(body: bytes) -> FollowAnswer | None:
     """Return an answer; ``None`` if it is malformed.
 
-    Malformed states of backend servers are left out.
+    Malformed states of backend servers and malformed crash reports are left out.
     """
     try:
         document = json.loads(body)
         states = [state_from_list(state) for state in document["servers"]]
+        reports = [report_from_list(report) for report in document.get("crashes", ())]
         age_ms = document["log_age_ms"]
         return FollowAnswer(
             whole_number(document["relay"]),
@@ -97,6 +105,7 @@
             base64.b64decode(document["configuration"]),
             tuple(state for state in states if state is not None),
             None if age_ms is None else whole_number(age_ms),
+            tuple(report for report in reports if report is not None),
         )
     except MALFORMED:
         return None
--- a/src/_masticspoke/border/hop.py
+++ b/src/_masticspoke/border/hop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import final
 
@@ -16,6 +17,8 @@
 # State of the guard's backend server, with each answer while it is leaving.
 LEAVING_HEADER = "Masticspoke-Leaving"
 RUN_QUERY_PATH = "/.masticspoke/fate"
+# Reasons that a node of an earlier build can't read are sent as one that it can.
+_SENT_REASONS: Mapping[NotRun | None, NotRun] = {NotRun.QUARANTINED: NotRun.BUSY}
 # Each request takes four conversions of short lists, so the functions behind
 # json.dumps and json.loads are called directly, without the cost of the wrappers.
 _quote = json.encoder.encode_basestring_ascii
@@ -101,7 +104,8 @@
         int(load.run_s * 1000),
         int(load.pressure_s * 1000),
     )
-    reason = "null" if answer.not_run is None else _quote(answer.not_run)
+    not_run = _SENT_REASONS.get(answer.not_run, answer.not_run)
+    reason = "null" if not_run is None else _quote(not_run)
     return f"[{reason},{','.join(map(str, numbers))}]"
 
 
--- a/src/_masticspoke/border/sync.py
+++ b/src/_masticspoke/border/sync.py
@@ -9,9 +9,12 @@
 
 from _masticspoke.border.backend_state import state_from_list
 from _masticspoke.border.backend_state import state_to_list
+from _masticspoke.border.crash_report import report_from_list
+from _masticspoke.border.crash_report import report_to_list
 from _masticspoke.border.json_values import MALFORMED
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.suspects import CrashReport
 
 SYNC_PATH = "/.masticspoke/sync"
 MAX_SYNC_BYTES = 8 * 2**20
@@ -27,12 +30,15 @@
     :param raw: the encoded configuration, in the answer to a node with an older one;
         empty otherwise.
     :param servers: states that the receiver may lack.
+    :param crash_reports: crash reports that the receiver may lack; a node of an earlier
+        build sends none.
     """
 
     version: int
     digest: int
     raw: bytes
     servers: tuple[BackendServer, ...]
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 def encode_sync(message: SyncMessage) -> bytes:
@@ -43,6 +49,7 @@
             "digest": message.digest,
             "configuration": base64.b64encode(message.raw).decode(),
             "servers": [state_to_list(server) for server in message.servers],
+            "crashes": [report_to_list(report) for report in message.crash_reports],
         },
         separators=(",", ":"),
     ).encode()
@@ -51,16 +58,18 @@
 def decode_sync(body: bytes) -> SyncMessage | None:
     """Return a node's message; ``None`` if it is malformed.
 
-    Malformed states of backend servers are left out.
+    Malformed states of backend servers and malformed crash reports are left out.
     """
     try:
         document = json.loads(body)
         states = [state_from_list(state) for state in document["servers"]]
+        reports = [report_from_list(report) for report in document.get("crashes", ())]
         return SyncMessage(
             whole_number(document["version"]),
             whole_number(document["digest"]),
             base64.b64decode(document["configuration"]),
             tuple(state for state in states if state is not None),
+            tuple(report for report in reports if report is not None),
         )
     except MALFORMED:
         return None
--- a/src/_masticspoke/decisions/fleet/explanation.py
+++ b/src/_masticspoke/decisions/fleet/explanation.py
@@ -25,6 +25,8 @@
     "no-server": "refused: the entry node had no backend server of the service",
     "no-configuration": "refused: the entry node had no configuration yet",
     "stopping": "refused: its node was stopping and had too little time left for it",
+    "quarantined": "refused: backend servers crashed while they ran it, and it has not"
+    " succeeded since; look at the events 4107 and 4108",
     "budget-spent": "failed: the retry budget was spent after a first failure",
     "broke": "failed with unknown outcome: the run ended without an answer; look at the"
     " backend server and at event 4004 of its node",
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -163,6 +163,7 @@
     MOVED = "moved"
     UNREACHABLE = "unreachable"
     FORBIDDEN = "forbidden"
+    QUARANTINED = "quarantined"
 
 
 @final
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -64,6 +64,11 @@
     RATE_LIMIT_UNREADABLE = EventSpec(
         4106, "WARNING", "rate limit of the local backend server unreadable"
     )
+    BACKEND_CRASHED = EventSpec(4107, "WARNING", "local backend server crashed")
+    REQUEST_QUARANTINED = EventSpec(
+        4108, "WARNING", "request refused that crashed backend servers"
+    )
+    QUARANTINE_ENDED = EventSpec(4109, "INFO", "request no longer refused")
     CONFIGURATION_IN_FORCE = EventSpec(4201, "INFO", "configuration in force")
     CONFIGURATION_UNREADABLE = EventSpec(4202, "WARNING", "configuration unreadable")
     HEARTBEAT_REJECTED = EventSpec(4203, "WARNING", "heartbeat rejected")
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -9,6 +9,8 @@
 from random import Random
 
 from _masticspoke.border.backend_state import decode_state
+from _masticspoke.border.crash_report import decode_report
+from _masticspoke.border.crash_report import is_report_key
 from _masticspoke.border.exposition import encode_metrics
 from _masticspoke.border.exposition import EXPOSITION_TYPE
 from _masticspoke.border.follow import FOLLOW_PATH
@@ -17,13 +19,17 @@
 from _masticspoke.connections import connection_owner
 from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
+from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.decisions.fleet.model import limits_of
 from _masticspoke.decisions.fleet.relays import states_pause_s
+from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import AskCounts
 from _masticspoke.fleet.counts import Counts
 from _masticspoke.fleet.counts import samples
+from _masticspoke.fleet.crash_messages import CrashReportsReceived
+from _masticspoke.fleet.crash_watch import CrashWatch
 from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.followers import CONNECT_TIMEOUT_S
 from _masticspoke.fleet.followers import Following
@@ -100,6 +106,7 @@
         parts.gate,
         parts.placer,
         parts.unsaved,
+        parts.suspects,
         parts.trail,
         parts.dialect.configuration_stream,
     )
@@ -178,18 +185,26 @@
 
 def _on_states(parts: FleetParts) -> OnValues:
     def on_values(values: Mapping[str, bytes]) -> None:
-        states = {key: decode_state(value) for key, value in values.items() if value}
-        servers = tuple(state for state in states.values() if state is not None)
-        for key in (key for key, state in states.items() if state is None):
-            fields = {"key": key, "bytes": len(values[key])}
-            record = EventRecord(Event.STATE_UNREADABLE, fields, Importance.FAILURE)
-            parts.trail.tell(record)
+        entries = {key: _decode_entry(key, value) for key, value in values.items()}
+        for key in (key for key, entry in entries.items() if entry is None):
+            if values[key]:
+                fields = {"key": key, "bytes": len(values[key])}
+                record = EventRecord(Event.STATE_UNREADABLE, fields, Importance.FAILURE)
+                parts.trail.tell(record)
+        servers = tuple(e for e in entries.values() if isinstance(e, BackendServer))
         if servers:
             parts.registry.tell(ServersReceived(servers, LOG_SOURCE))
+        reports = tuple(e for e in entries.values() if isinstance(e, CrashReport))
+        if reports:
+            parts.registry.tell(CrashReportsReceived(reports, time.time()))
 
     return on_values
 
 
+def _decode_entry(key: str, value: bytes) -> BackendServer | CrashReport | None:
+    return decode_report(value) if is_report_key(key) else decode_state(value)
+
+
 def sync_port(parts: FleetParts) -> SyncPort:
     """Return the port of the sync task and of the handler of exchanges."""
     settings = parts.settings
@@ -263,6 +278,12 @@
         boot_clock,
         parts.tickets,
         parts.parents,
+        CrashWatch(
+            parts.registry,
+            parts.suspects,
+            parts.single_use_backend_connections,
+            time.time,
+        ),
     )
 
 
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/followers.py
@@ -1,4 +1,4 @@
-"""Follow keyed streams of the log, and append the local backend server's states.
+"""Follow keyed streams of the log, and append this node's states and crash reports.
 
 Each task has a connection of its own to the log. One that has gone silent is closed
 when a request times out on it, so that no later request is sent on it.
@@ -15,9 +15,12 @@
 from typing import final
 
 from _masticspoke.border.backend_state import encode_state
+from _masticspoke.border.crash_report import encode_report
+from _masticspoke.border.crash_report import report_key
 from _masticspoke.connections import open_session
 from _masticspoke.decisions.backoff import pause_after
 from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
 from _masticspoke.fleet.registry import RegistryMessage
@@ -153,12 +156,12 @@
 
 
 def states_writer(
-    inbox: Mailbox[BackendServer],
+    inbox: Mailbox[BackendServer | CrashReport],
     registry: Mailbox[RegistryMessage],
     log: Address,
     stream: str,
 ) -> ChildBody:
-    """Return the body of the task that appends states of the local backend server.
+    """Return the body of the task that appends this node's states and crash reports.
 
     An append that failed or whose answer was lost is repeated; a second equal record is
     harmless.
@@ -174,20 +177,21 @@
 
 
 async def _append_until_cancelled(
-    inbox: Mailbox[BackendServer],
+    inbox: Mailbox[BackendServer | CrashReport],
     registry: Mailbox[RegistryMessage],
     client: LogClient,
     stream: str,
 ) -> None:
     random = Random()
-    unsaved: dict[Address, BackendServer] = {}
+    unsaved: dict[str, bytes] = {}
     failures = 0
     while True:
         pause_s = pause_after(failures, FIRST_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S, random)
         timeout_s = pause_s if unsaved else None
-        for server in await inbox.receive(timeout_s):
-            unsaved[server.address] = server
-        records = [_state_record(server) for server in unsaved.values()]
+        for entry in await inbox.receive(timeout_s):
+            key, value = _ENCODERS[type(entry)](entry)
+            unsaved[key] = value
+        records = [keyed_record(key, value) for key, value in unsaved.items()]
         result = await append(client, stream, records)
         if isinstance(result, LogFault):
             failures += 1
@@ -198,5 +202,15 @@
         registry.tell(LogHealth("writer", None))
 
 
-def _state_record(server: BackendServer) -> bytes:
-    return keyed_record(str(server.address), encode_state(server))
+def _encode_server(server: BackendServer) -> tuple[str, bytes]:
+    return str(server.address), encode_state(server)
+
+
+def _encode_crashes(report: CrashReport) -> tuple[str, bytes]:
+    return report_key(report.address), encode_report(report)
+
+
+_ENCODERS: dict[type, Callable[..., tuple[str, bytes]]] = {
+    BackendServer: _encode_server,
+    CrashReport: _encode_crashes,
+}
--- a/src/_masticspoke/fleet/front.py
+++ b/src/_masticspoke/fleet/front.py
@@ -23,10 +23,12 @@
 from _masticspoke.decisions.fleet.routing import find_route
 from _masticspoke.decisions.fleet.stopping import latest_deadline
 from _masticspoke.events import Event
+from _masticspoke.fleet.crash_watch import quarantine_s
+from _masticspoke.fleet.crash_watch import report_success
 from _masticspoke.fleet.event_record import EventRecord
+from _masticspoke.fleet.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.guarding import Answer
 from _masticspoke.fleet.guarding import Declined
-from _masticspoke.fleet.guarding import ForwardedRequest
 from _masticspoke.fleet.guarding import Interrupted
 from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.fleet.messages import NoPlacement
@@ -46,6 +48,8 @@
 MAX_DECLINED = 3
 # Retry-After if no guard gave one for overload: about the time of a restart.
 _DEFAULT_RETRY_S = 1.0
+# Lowest status that means a failure of the backend server.
+_MIN_FAILURE_STATUS = 500
 # Reasons of refusals under load. The guard then knows when a retry makes sense, so
 # Retry-After is the guard's.
 _OVERLOAD_REASONS = frozenset({NotRun.BUSY, NotRun.PRESSURE, NotRun.SHED})
@@ -183,7 +187,7 @@
 
 def _fails_parent_run(result: Result) -> bool:
     if isinstance(result, Answer):
-        return result.status >= 500
+        return result.status >= _MIN_FAILURE_STATUS
     # A nested request may time out at one slow server, and a retry of the run that
     # made it may reach another one.
     return isinstance(result, Unanswered) and result.outcome is not Outcome.EXPIRED
@@ -196,7 +200,13 @@
     outgoing: ForwardedRequest,
     forwarder: AnswerForwarder,
 ) -> Result:
+    watch, caller = port.send.guard.crash_watch, port.service.value
     while True:
+        quarantined_s = quarantine_s(watch, outgoing, caller)
+        if quarantined_s > 0:
+            progress.last_outcome = progress.last_outcome or NotRun.QUARANTINED
+            progress.retry_s = quarantined_s
+            return _final_result(progress)
         placement = await _request_placement(port, progress)
         if isinstance(placement, NoPlacement):
             progress.last_outcome = progress.last_outcome or placement.reason
@@ -208,6 +218,8 @@
         if isinstance(result, Streamed):
             return result
         if isinstance(result, Answer) and not _is_retryable_failure(progress, result):
+            if result.status < _MIN_FAILURE_STATUS:
+                report_success(watch, outgoing, caller)
             return result
         if not _may_send_again(progress, result):
             return _final_result(progress, result)
@@ -278,7 +290,7 @@
 def _is_retryable_failure(progress: _Progress, answer: Answer) -> bool:
     route = progress.route
     return (
-        answer.status >= 500
+        answer.status >= _MIN_FAILURE_STATUS
         and not answer.nested_call_failed
         and route.idempotent
         and progress.sends_arrived < route.max_attempts
@@ -286,7 +298,7 @@
 
 
 def _may_send_again(progress: _Progress, result: RunResult) -> bool:
-    if isinstance(result, Interrupted) and result.expired:
+    if isinstance(result, Interrupted) and (result.expired or result.quarantined):
         return False
     if isinstance(result, Declined) and result.reason is NotRun.TOO_LATE:
         return False
--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,8 +27,14 @@
 from _masticspoke.decisions.fleet.queueing import Verdict
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import TrailMessage
+from _masticspoke.fleet.crash_watch import CrashWatch
+from _masticspoke.fleet.crash_watch import quarantine_s
+from _masticspoke.fleet.crash_watch import report_abandoned
+from _masticspoke.fleet.crash_watch import report_interrupted
+from _masticspoke.fleet.crash_watch import report_success
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.event_record import EventRecord
+from _masticspoke.fleet.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import Admit
 from _masticspoke.fleet.messages import BackendAnswered
@@ -63,20 +70,6 @@
 _MIN_FAILURE_STATUS = 500
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class ForwardedRequest:
-    """A request as it is forwarded to a guard or backend server.
-
-    :param target: path and query, unchanged.
-    """
-
-    method: str
-    target: str
-    headers: CIMultiDict[str]
-    body: bytes
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -112,14 +105,22 @@
     """The run ended without an answer; the request may have run.
 
     :param detail: text for the log. A guard also sends it as the body of its answer to
-        another node, where the text ``deadline`` means that the deadline passed.
+        another node, where the texts of :data:`INTERRUPTIONS` have a meaning.
     :param expired: whether the deadline passed.
+    :param quarantined: whether the request has crashed too many backend servers to be
+        sent again.
     """
 
     detail: str
     expired: bool = False
+    quarantined: bool = False
 
 
+EXPIRED = Interrupted("deadline", expired=True)
+QUARANTINED = Interrupted("crashed a backend server again", quarantined=True)
+# Interruptions that a guard's answer tells apart, by their text.
+INTERRUPTIONS = {result.detail: result for result in (EXPIRED, QUARANTINED)}
+
 RunResult = Answer | Streamed | Declined | Interrupted
 # Forwards an answer while it arrives; takes its head, its headers and its first bytes.
 StreamAnswer = Callable[[UpstreamAnswer, CIMultiDict[str], bytes], Awaitable[Streamed]]
@@ -136,6 +137,7 @@
     :param registry: is told when the server says that it is leaving.
     :param tickets: source of unique tickets for the gate.
     :param parents: requests that run at the local backend server.
+    :param crash_watch: for requests that crash backend servers.
     """
 
     gate: Mailbox[GateMessage]
@@ -148,6 +150,7 @@
     clock: Clock
     tickets: count[int]
     parents: Parents
+    crash_watch: CrashWatch
 
     @property
     def load(self) -> GuardLoad:
@@ -164,6 +167,17 @@
 
     :param stream_answer: forwards an answer longer than ``MAX_BUFFERED_ANSWER_BYTES``.
     """
+    quarantined_s = quarantine_s(port.crash_watch, outgoing, job.caller)
+    if quarantined_s > 0:
+        declined = Declined(NotRun.QUARANTINED, quarantined_s)
+        _log_declined(port, job, declined)
+        return declined
+    return await _admit_and_run(port, job, outgoing, stream_answer)
+
+
+async def _admit_and_run(
+    port: GuardPort, job: Job, outgoing: ForwardedRequest, stream_answer: StreamAnswer
+) -> RunResult:
     ticket = next(port.tickets)
     reply: Reply[Verdict] = Reply()
     busy = Refuse(ticket, NotRun.BUSY, _DEFAULT_RETRY_S)
@@ -207,7 +221,39 @@
     exchange = connections.request(
         server.address, outgoing.method, outgoing.target, headers, outgoing.body, left_s
     )
-    return await _read_result(port, job, exchange, stream_answer, server, sent_at)
+    try:
+        result = await _read_result(port, job, exchange, stream_answer, server, sent_at)
+    except asyncio.CancelledError:
+        report_abandoned(port.crash_watch, server, outgoing, job.caller)
+        raise
+    return await _report_end(port, job, outgoing, server, result)
+
+
+async def _report_end(
+    port: GuardPort,
+    job: Job,
+    outgoing: ForwardedRequest,
+    server: BackendServer,
+    result: RunResult,
+) -> RunResult:
+    """Report what a run shows of the request: that it may crash servers, or does not.
+
+    A failure of the server is no sign that it ran the request to its end.
+
+    :return: the result for the sender, which must not send a quarantined request again.
+    """
+    watch = port.crash_watch
+    if isinstance(result, Interrupted) and result.expired:
+        report_abandoned(watch, server, outgoing, job.caller)
+    elif isinstance(result, Interrupted):
+        await report_interrupted(watch, server, outgoing, job.caller)
+        if quarantine_s(watch, outgoing, job.caller) > 0:
+            return QUARANTINED
+    elif isinstance(result, Streamed) or (
+        isinstance(result, Answer) and result.status < _MIN_FAILURE_STATUS
+    ):
+        report_success(watch, outgoing, job.caller)
+    return result
 
 
 async def _read_result(
@@ -231,7 +277,7 @@
                 return Declined(not_run, _DEFAULT_RETRY_S, arrived=True)
             return await _read_answer(upstream, stream_answer)
     except ExpiredError:
-        return Interrupted("deadline", expired=True)
+        return EXPIRED
     except NotConnectedError:
         port.gate.tell(BackendUnreachable(server.instance))
         return Declined(NotRun.ABSENT, _DEFAULT_RETRY_S)
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -27,9 +27,9 @@
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.run_records import started_before_send
+from _masticspoke.fleet.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.guarding import Answer
 from _masticspoke.fleet.guarding import Declined
-from _masticspoke.fleet.guarding import ForwardedRequest
 from _masticspoke.fleet.guarding import GuardPort
 from _masticspoke.fleet.guarding import Interrupted
 from _masticspoke.fleet.guarding import NO_REPLACED_HEADERS
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -19,6 +19,7 @@
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.model import Route
 from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.model import Address
 from _masticspoke.supervise.mailbox import Reply
 
@@ -313,6 +314,8 @@
     :param digest: digest of the states of all servers.
     :param recent: servers that changed within the last seconds.
     :param log_available: whether no follower or writer of the log reports a fault.
+    :param crash_reports: crash reports of all guards.
+    :param recent_crash_reports: those that changed within the last seconds.
     """
 
     version: int
@@ -321,6 +324,8 @@
     servers: tuple[BackendServer, ...]
     recent: tuple[BackendServer, ...]
     log_available: bool
+    crash_reports: tuple[CrashReport, ...] = ()
+    recent_crash_reports: tuple[CrashReport, ...] = ()
 
 
 @final
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -13,6 +13,8 @@
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.relays import READ_WAIT_S
 from _masticspoke.decisions.fleet.relays import RelayState
+from _masticspoke.decisions.fleet.suspects import CrashReport
+from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.followers import CONNECT_TIMEOUT_S
@@ -47,8 +49,9 @@
     :param service: service of the backend server on this VM.
     :param tickets: source of unique tickets for the gate.
     :param parents: requests that run at the local backend server.
-    :param unsaved: states of the local backend server that are to be appended to the
-        log.
+    :param unsaved: states of the local backend server, and this node's crash reports,
+        that are to be appended to the log.
+    :param suspects: requests that were running at crashes.
     :param reads_log: on while this node reads the log itself.
     :param configuration_wait_s: how long its reads of the configuration wait, seconds.
     :param peer_connections: connections to other nodes for exchanges of states.
@@ -73,7 +76,8 @@
     gate_state: GateState
     run_recorder: Mailbox[RunRecorderMessage]
     run_recorder_state: RunRecorderState
-    unsaved: Mailbox[BackendServer]
+    unsaved: Mailbox[BackendServer | CrashReport]
+    suspects: Latest[SuspectView]
     trail: Mailbox[TrailMessage]
     relay_chooser: Mailbox[RelayMessage]
     relay_state: RelayState
@@ -110,6 +114,7 @@
         run_recorder=Mailbox(_MAILBOX_CAPACITY),
         run_recorder_state=RunRecorderState(),
         unsaved=Mailbox(_MAILBOX_CAPACITY),
+        suspects=Latest(SuspectView()),
         trail=trail,
         relay_chooser=Mailbox(_MAILBOX_CAPACITY),
         relay_state=RelayState(settings.nodes.host, settings.zone),
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -8,6 +8,10 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.events import Event
+from _masticspoke.fleet.crash_messages import BackendCrashed
+from _masticspoke.fleet.crash_messages import CrashReportsReceived
+from _masticspoke.fleet.crash_messages import RunAbandoned
+from _masticspoke.fleet.crash_messages import SuspectSucceeded
 from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.messages import AskLocalBackend
 from _masticspoke.fleet.messages import AskRegistrySnapshot
@@ -20,6 +24,10 @@
 from _masticspoke.fleet.messages import LogNotRead
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.registry_crashes import backend_crashed
+from _masticspoke.fleet.registry_crashes import crash_reports_received
+from _masticspoke.fleet.registry_crashes import run_abandoned
+from _masticspoke.fleet.registry_crashes import suspect_succeeded
 from _masticspoke.fleet.registry_news import answer_held
 from _masticspoke.fleet.registry_news import ask_news
 from _masticspoke.fleet.registry_news import ask_registry_snapshot
@@ -47,6 +55,10 @@
     | AskNews
     | AskLocalBackend
     | LocalBackendConfirmed
+    | BackendCrashed
+    | RunAbandoned
+    | SuspectSucceeded
+    | CrashReportsReceived
 )
 # Source of what comes from the log itself, in messages and log lines.
 LOG_SOURCE = "log"
@@ -261,4 +273,8 @@
     AskRegistrySnapshot: ask_registry_snapshot,
     AskLocalBackend: _ask_local_backend,
     LocalBackendConfirmed: _local_backend_confirmed,
+    BackendCrashed: backend_crashed,
+    RunAbandoned: run_abandoned,
+    SuspectSucceeded: suspect_succeeded,
+    CrashReportsReceived: crash_reports_received,
 }
--- a/src/_masticspoke/fleet/registry_news.py
+++ b/src/_masticspoke/fleet/registry_news.py
@@ -47,6 +47,11 @@
             for address, number in registry_state.changes.items()
             if number > known
         ),
+        crash_reports=tuple(
+            registry_state.suspects.reports[address]
+            for address, number in registry_state.report_changes.items()
+            if number > known and address in registry_state.suspects.reports
+        ),
         log_age_s=None if answered_at is None else now - answered_at,
     )
 
@@ -61,6 +66,12 @@
         for address, changed_at in registry_state.changed_at.items()
         if now - changed_at < _RECENT_CHANGE_S
     )
+    recent_reports = tuple(
+        registry_state.suspects.reports[address]
+        for address, changed_at in registry_state.report_changed_at.items()
+        if now - changed_at < _RECENT_CHANGE_S
+        and address in registry_state.suspects.reports
+    )
     message.reply.answer(
         RegistrySnapshot(
             version=version_in_force(state),
@@ -69,5 +80,7 @@
             servers=tuple(registry_state.members.by_address.values()),
             recent=recent,
             log_available=not registry_state.faults,
+            crash_reports=tuple(registry_state.suspects.reports.values()),
+            recent_crash_reports=recent_reports,
         )
     )
--- a/src/_masticspoke/fleet/registry_state.py
+++ b/src/_masticspoke/fleet/registry_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from random import getrandbits
@@ -10,7 +11,11 @@
 from _masticspoke.decisions.fleet.members import Members
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.decisions.fleet.suspects import CrashReport
+from _masticspoke.decisions.fleet.suspects import Suspects
+from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.counts import TrailMessage
+from _masticspoke.fleet.crash_messages import RunAbandoned
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.placer import PlacerMessage
@@ -37,12 +42,16 @@
     :param local_heartbeat_received: whether the local backend server has sent this node
         a heartbeat.
     :param identity: identity of this process, for nodes that follow it.
-    :param change: number of the last change of a server.
+    :param change: number of the last change of a server or crash report.
     :param changes: number of the last change of each server.
     :param unconfirmed: newest configuration from a peer, until the log has answered or
         has turned this node away for the first time.
     :param held: questions of nodes that follow this one, to be answered with the next
         configuration.
+    :param suspects: crash reports of all guards, and what they show.
+    :param report_changes: number of the last change of each guard's crash report.
+    :param report_changed_at: time of that change.
+    :param abandoned: runs that were cancelled a moment ago.
     """
 
     members: Members = field(default_factory=Members)
@@ -56,6 +65,10 @@
     changes: dict[Address, int] = field(default_factory=dict)
     unconfirmed: ConfigurationReceived | None = None
     held: list[AskNews] = field(default_factory=list)
+    suspects: Suspects = field(default_factory=Suspects)
+    report_changes: dict[Address, int] = field(default_factory=dict)
+    report_changed_at: dict[Address, float] = field(default_factory=dict)
+    abandoned: deque[RunAbandoned] = field(default_factory=deque)
 
 
 @final
@@ -64,15 +77,17 @@
     """Where the registry sends or publishes changes.
 
     :param configuration: the configuration in force; ``None`` until one is received.
-    :param unsaved: states of the local backend server that are to be appended to the
-        log.
+    :param unsaved: states of the local backend server, and this node's crash reports,
+        that are to be appended to the log.
+    :param suspects: requests that were running at crashes.
     :param configuration_stream: stream of the log that holds the configuration.
     """
 
     configuration: Latest[Configuration | None]
     gate: Mailbox[GateMessage]
     placer: Mailbox[PlacerMessage]
-    unsaved: Mailbox[BackendServer]
+    unsaved: Mailbox[BackendServer | CrashReport]
+    suspects: Latest[SuspectView]
     trail: Mailbox[TrailMessage]
     configuration_stream: str
 
--- a/src/_masticspoke/fleet/relay_messages.py
+++ b/src/_masticspoke/fleet/relay_messages.py
@@ -9,6 +9,7 @@
 from typing import final
 
 from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.supervise.mailbox import Reply
 
 
@@ -42,6 +43,7 @@
     :param change: number of the last change.
     :param raw: configuration as the operator published it, if newer; else empty.
     :param servers: states that have changed.
+    :param crash_reports: crash reports that have changed.
     :param log_age_s: time since the log last answered; ``None`` if it turns this node
         away or isn't read.
     """
@@ -50,6 +52,7 @@
     change: int
     raw: bytes
     servers: tuple[BackendServer, ...]
+    crash_reports: tuple[CrashReport, ...]
     log_age_s: float | None
 
 
--- a/src/_masticspoke/fleet/relaying.py
+++ b/src/_masticspoke/fleet/relaying.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from random import Random
 from typing import final
@@ -20,6 +21,7 @@
 from _masticspoke.decisions.fleet.relays import RelayState
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import TrailMessage
+from _masticspoke.fleet.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.messages import AskRegistrySnapshot
@@ -226,6 +228,8 @@
     """Return whether the configuration can be read, if there is a newer one."""
     if answer.servers:
         port.registry.tell(ServersReceived(answer.servers, source))
+    if answer.crash_reports:
+        port.registry.tell(CrashReportsReceived(answer.crash_reports, time.time()))
     if not answer.raw:
         return True
     configuration = port.dialect.decode_configuration(answer.raw)
@@ -255,7 +259,14 @@
         # A relay that is stopping is left as one that doesn't hear the log.
         age_s = None if port.stop.under_way else news.log_age_s
         age_ms = None if age_s is None else int(age_s * 1000)
-        answer = FollowAnswer(news.relay, news.change, news.raw, news.servers, age_ms)
+        answer = FollowAnswer(
+            news.relay,
+            news.change,
+            news.raw,
+            news.servers,
+            age_ms,
+            news.crash_reports,
+        )
         return Response(200, body=encode_follow_answer(answer))
 
     return handle
--- a/src/_masticspoke/fleet/sending.py
+++ b/src/_masticspoke/fleet/sending.py
@@ -25,11 +25,13 @@
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.model import Phase
+from _masticspoke.fleet.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.guarding import Answer
 from _masticspoke.fleet.guarding import Declined
-from _masticspoke.fleet.guarding import ForwardedRequest
+from _masticspoke.fleet.guarding import EXPIRED
 from _masticspoke.fleet.guarding import GuardPort
 from _masticspoke.fleet.guarding import Interrupted
+from _masticspoke.fleet.guarding import INTERRUPTIONS
 from _masticspoke.fleet.guarding import MAX_BUFFERED_ANSWER_BYTES
 from _masticspoke.fleet.guarding import MAX_REFUSAL_BYTES
 from _masticspoke.fleet.guarding import NO_REPLACED_HEADERS
@@ -49,7 +51,9 @@
 
 # Refusals with these reasons count neither as a failure nor as a success of the server:
 # they say nothing about its health.
-_NEUTRAL_REASONS = frozenset({NotRun.BUSY, NotRun.PRESSURE, NotRun.TOO_LATE})
+_NEUTRAL_REASONS = frozenset(
+    {NotRun.BUSY, NotRun.PRESSURE, NotRun.TOO_LATE, NotRun.QUARANTINED}
+)
 # Retry-After if the guard cannot be reached.
 _DEFAULT_RETRY_S = 0.2
 # Wait beyond the deadline for the guard's answer, which may show that the request did
@@ -166,7 +170,7 @@
     try:
         await _request_node(attempt)
     except ExpiredError:
-        attempt.result = Interrupted("deadline", expired=True)
+        attempt.result = EXPIRED
     except NotConnectedError:
         attempt.result = Declined(NotRun.UNREACHABLE, _DEFAULT_RETRY_S)
     except (aiohttp.ClientError, ConnectionError) as error:
@@ -196,7 +200,7 @@
                     )
                 return
         except ExpiredError:
-            attempt.result = Interrupted("deadline", expired=True)
+            attempt.result = EXPIRED
             return
         except (aiohttp.ClientError, ConnectionError):
             continue  # the result stays Interrupted: the request may have run
@@ -251,7 +255,7 @@
     if guard.interrupted:
         text, _ = await upstream.read_start(MAX_REFUSAL_BYTES)
         detail = text.decode(errors="replace")
-        return Interrupted(detail, expired=detail == "deadline")
+        return INTERRUPTIONS.get(detail, Interrupted(detail))
     headers = forwarded_headers(upstream.headers, NO_REPLACED_HEADERS)
     if (upstream.content_length or 0) > MAX_BUFFERED_ANSWER_BYTES:
         return await forwarder.forward(upstream, headers, b"")
--- a/src/_masticspoke/fleet/sync.py
+++ b/src/_masticspoke/fleet/sync.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from dataclasses import replace
 from random import Random
@@ -24,6 +25,7 @@
 from _masticspoke.decisions.fleet.exchanges import choose_peers
 from _masticspoke.decisions.fleet.exchanges import must_push
 from _masticspoke.decisions.fleet.exchanges import pause_s
+from _masticspoke.fleet.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
@@ -91,7 +93,13 @@
 
 
 async def _exchange(port: SyncPort, host: str, snapshot: RegistrySnapshot) -> None:
-    message = SyncMessage(snapshot.version, snapshot.digest, b"", snapshot.recent)
+    message = SyncMessage(
+        snapshot.version,
+        snapshot.digest,
+        b"",
+        snapshot.recent,
+        snapshot.recent_crash_reports,
+    )
     received = await _post(port, host, message)
     if received is None:
         return
@@ -117,6 +125,8 @@
 def _send_to_registry(port: SyncPort, received: SyncMessage, source: str) -> None:
     if received.servers:
         port.registry.tell(ServersReceived(received.servers, source))
+    if received.crash_reports:
+        port.registry.tell(CrashReportsReceived(received.crash_reports, time.time()))
     if received.raw:
         configuration = port.dialect.decode_configuration(received.raw)
         if configuration is not None:
@@ -136,11 +146,13 @@
         if snapshot is None:
             return Response(503)
         _send_to_registry(port, received, f"peer {request.remote}")
+        differs = snapshot.digest != received.digest
         message = SyncMessage(
             snapshot.version,
             snapshot.digest,
             snapshot.raw if snapshot.version > received.version else b"",
-            snapshot.servers if snapshot.digest != received.digest else (),
+            snapshot.servers if differs else (),
+            snapshot.crash_reports if differs else snapshot.recent_crash_reports,
         )
         return Response(200, body=encode_sync(message))
 
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -7,12 +7,12 @@
 from _masticspoke.border.forwarding import forwarded_headers
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import limits_of
+from _masticspoke.fleet.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.front import FrontPort
 from _masticspoke.fleet.front import IncomingRequest
 from _masticspoke.fleet.front import Outcome
 from _masticspoke.fleet.front import serve_request
 from _masticspoke.fleet.front import Unanswered
-from _masticspoke.fleet.guarding import ForwardedRequest
 from _masticspoke.fleet.sending import AnswerForwarder
 from _masticspoke.http_server import Handler
 from _masticspoke.http_server import Request
--- a/testing/fleet/test_odd_entries.py
+++ b/testing/fleet/test_odd_entries.py
@@ -12,6 +12,8 @@
 from testing.fleet.platform_fleet import wait_until
 from testing.fleet.test_path import READ
 
+from _masticspoke.border.addresses import parse_address
+from _masticspoke.border.crash_report import report_key
 from _masticspoke.events import counted_events
 from _masticspoke.events import Event
 from _masticspoke.platform.log import keyed_record
@@ -37,6 +39,14 @@
 }
 
 
+ODD_REPORTS = {
+    "no list": b"7",
+    "deeply nested": b"[" * 100_000,
+    "infinite time": b'["127.0.9.9:80",[["i",1,1e999,""]],[]]',
+    "many crashes": b'["127.0.9.9:80",[' + b"[]," * 100 + b"[]],[]]",
+}
+
+
 @pytest.mark.parametrize("entry", ODD_STATES.values(), ids=ODD_STATES)
 def test_odd_entry_among_the_states_stops_no_node_that_reads_it(
     tmp_path: Path, entry: bytes
@@ -60,6 +70,25 @@
     assert not [number for number in events if number in CRASHES]
 
 
+@pytest.mark.parametrize("entry", ODD_REPORTS.values(), ids=ODD_REPORTS)
+def test_odd_crash_report_stops_no_node_that_reads_it(
+    tmp_path: Path, entry: bytes
+) -> None:
+    events: list[int] = []
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ)
+        record = keyed_record(report_key(parse_address("127.0.9.9:80")), entry)
+        fleet.log.add(fleet.log.stream(SERVERS_STREAM), [record])
+        node = await fleet.add("desk")
+        await fleet.wait_until_synchronised()
+        assert (await fleet.ask(node, "/read/1"))[0] == 200
+
+    with counted_events(events.append):
+        run_scenario(tmp_path, scenario)
+    assert not [number for number in events if number in CRASHES]
+
+
 @pytest.mark.parametrize("entry", ODD_STATES.values(), ids=ODD_STATES)
 def test_odd_exchange_from_a_peer_stops_no_node(tmp_path: Path, entry: bytes) -> None:
     events: list[int] = []
--- a/testing/fleet/test_registry.py
+++ b/testing/fleet/test_registry.py
@@ -5,6 +5,7 @@
 from testing.decisions.fleet.samples import server
 
 from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.events import Event
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.event_record import EventRecord
@@ -31,6 +32,7 @@
             Mailbox(100),
             Mailbox(100),
             Mailbox(100),
+            Latest(SuspectView()),
             self.trail,
             "keyed.op",
         )
--- a/testing/fleet/test_relaying.py
+++ b/testing/fleet/test_relaying.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 from zlib import crc32
 
@@ -19,6 +20,9 @@
 from _masticspoke.border.follow import FOLLOW_PATH
 from _masticspoke.border.follow import FollowAnswer
 from _masticspoke.decisions.fleet.relays import MIN_ZONE_NODES
+from _masticspoke.decisions.fleet.suspects import CRASHES_TO_QUARANTINE
+from _masticspoke.decisions.fleet.suspects import Incarnation
+from _masticspoke.fleet.crash_messages import BackendCrashed
 from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.model import Address
 
@@ -136,6 +140,20 @@
     run_scenario(tmp_path, scenario)
 
 
+# BUDGET: a node that follows a relay passed on what crashes servers.
+def test_crash_reports_reach_the_followers(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        await add_zone(fleet)
+        for number, node in enumerate(fleet.nodes[:CRASHES_TO_QUARANTINE]):
+            incarnation = Incarnation(node.parts.settings.backend, f"i-{number}", 1)
+            node.parts.registry.tell(BackendCrashed(incarnation, 13, time.time()))
+        await wait_until(
+            lambda: all(n.parts.suspects.value.quarantined for n in fleet.nodes), 3.0
+        )
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_relay_that_is_stopping_is_left_at_once(tmp_path: Path) -> None:
     async def scenario(fleet: PlatformFleet) -> None:
         fleet.stop_timeout_s = 3.0
