A leave is acknowledged once it is in the log

Cause: the registry answered when it had told the gate, and the writer appended afterwards. A test then showed that a fresh node also opened for a heartbeat before it had read the log. Ruled out: that the heartbeat is taken for newer; a phase never goes back within an incarnation. A fresh process opens its gate for no heartbeat before the states have been read once; without the log the server's health check decides. A leave that comes before that waits, one of an unknown server is kept as a state of its own.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -109,6 +109,7 @@
         parts.suspects,
         parts.trail,
         parts.dialect.configuration_stream,
+        parts.dialect.servers_stream,
     )
     registry_body = registry(
         parts.registry,
@@ -141,6 +142,7 @@
     )
     writer = states_writer(
         parts.unsaved,
+        parts.writer_state,
         parts.registry,
         settings.log,
         parts.dialect.servers_stream,
@@ -192,8 +194,7 @@
                 record = EventRecord(Event.STATE_UNREADABLE, fields, Importance.FAILURE)
                 parts.trail.tell(record)
         servers = tuple(e for e in entries.values() if isinstance(e, BackendServer))
-        if servers:
-            parts.registry.tell(ServersReceived(servers, LOG_SOURCE))
+        parts.registry.tell(ServersReceived(servers, LOG_SOURCE))
         reports = tuple(e for e in entries.values() if isinstance(e, CrashReport))
         if reports:
             parts.registry.tell(CrashReportsReceived(reports, time.time()))
@@ -249,6 +250,7 @@
         parts.configuration,
         parts.single_use_backend_connections,
         parts.dialect,
+        parts.guard_state,
     )
     gate_body = gate(parts.gate, parts.gate_state, boot_clock)
     children = (
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/followers.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 from random import Random
 from typing import final
@@ -23,6 +24,7 @@
 from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
+from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
@@ -36,6 +38,7 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.switch import Switch
 
 # Timeout of one request to the log, except for long polls.
@@ -155,8 +158,22 @@
     return dict(pair for pair in pairs if pair is not None)
 
 
+@final
+@dataclass(slots=True)
+class WriterState:
+    """State of the writer, which outlives a crash of the task.
+
+    :param unsaved: values that are not in the log yet, by key.
+    :param waiting: replies that are answered once all of them are.
+    """
+
+    unsaved: dict[str, bytes] = field(default_factory=dict)
+    waiting: list[Reply[bool]] = field(default_factory=list)
+
+
 def states_writer(
-    inbox: Mailbox[BackendServer | CrashReport],
+    inbox: Mailbox[Unsaved],
+    state: WriterState,
     registry: Mailbox[RegistryMessage],
     log: Address,
     stream: str,
@@ -171,35 +188,47 @@
         life.mark_started()
         async with open_session(CONNECT_TIMEOUT_S) as session:
             client = LogClient(session, log, LOG_TIMEOUT_S)
-            await _append_until_cancelled(inbox, registry, client, stream)
+            await _append_until_cancelled(inbox, state, registry, client, stream)
 
     return run
 
 
 async def _append_until_cancelled(
-    inbox: Mailbox[BackendServer | CrashReport],
+    inbox: Mailbox[Unsaved],
+    state: WriterState,
     registry: Mailbox[RegistryMessage],
     client: LogClient,
     stream: str,
 ) -> None:
     random = Random()
-    unsaved: dict[str, bytes] = {}
     failures = 0
     while True:
         pause_s = pause_after(failures, FIRST_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S, random)
-        timeout_s = pause_s if unsaved else None
-        for entry in await inbox.receive(timeout_s):
-            key, value = _ENCODERS[type(entry)](entry)
-            unsaved[key] = value
-        records = [keyed_record(key, value) for key, value in unsaved.items()]
-        result = await append(client, stream, records)
-        if isinstance(result, LogFault):
-            failures += 1
-            registry.tell(LogHealth("writer", result.value))
-            continue
-        failures = 0
-        unsaved.clear()
-        registry.tell(LogHealth("writer", None))
+        for message in await inbox.receive(pause_s if state.unsaved else None):
+            _accept(state, message)
+        if state.unsaved:
+            values = state.unsaved.items()
+            records = [keyed_record(key, value) for key, value in values]
+            result = await append(client, stream, records)
+            if isinstance(result, LogFault):
+                failures += 1
+                registry.tell(LogHealth("writer", result.value))
+                continue
+            failures = 0
+            state.unsaved.clear()
+            registry.tell(LogHealth("writer", None))
+        waiting, state.waiting = state.waiting, []
+        for reply in waiting:
+            reply.answer(True)
+
+
+def _accept(state: WriterState, message: Unsaved) -> None:
+    if message.entry is not None:
+        key, value = _ENCODERS[type(message.entry)](message.entry)
+        state.unsaved[key] = value
+    if message.saved is not None:
+        state.waiting = [reply for reply in state.waiting if not reply.abandoned]
+        state.waiting.append(message.saved)
 
 
 def _encode_server(server: BackendServer) -> tuple[str, bytes]:
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -208,8 +208,9 @@
 class Heartbeat:
     """Control-plane listener to registry: a heartbeat of the local backend server.
 
-    :param reply: answered once the state is merged and sent to this node's gate; the
-        gate is not sent the state of an instance that has been replaced.
+    :param reply: answered once the state is merged and sent to this node's gate, and,
+        if the server is leaving, appended to the log. The gate is not sent the state of
+        an instance that has been replaced.
     """
 
     server: BackendServer
@@ -225,7 +226,7 @@
 
     :param born_ms: Unix time of the instance's start; ``None`` if it is not given.
     :param phase: phase of the instance from now on, unless it is in a later one.
-    :param reply: answered once the registry has handled the message.
+    :param reply: answered once the server's phase is in the log.
     """
 
     instance: str
@@ -237,13 +238,39 @@
 @final
 @dataclass(frozen=True, slots=True)
 class AskLocalBackend:
-    """Probe to registry: return the local backend server's state from the log or peers.
+    """Probe to registry: return the local backend server's state if it is unconfirmed.
 
-    :param reply: gets ``None`` if they have none, or once the server has sent this node
-        a heartbeat.
+    :param reply: gets ``None`` if there is none, or once the gate knows the server.
     """
 
-    reply: Reply[BackendServer | None]
+    reply: Reply[LocalCandidate | None]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LocalCandidate:
+    """Registry's reply: a state of the local backend server that may be out of date.
+
+    :param announced: whether the server has sent this node a heartbeat, which may have
+        been late.
+    """
+
+    server: BackendServer
+    announced: bool
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Unsaved:
+    """Registry to writer: append an entry to the log.
+
+    :param entry: ``None`` to append nothing more.
+    :param saved: answered with ``True`` once all entries up to this message are in the
+        log.
+    """
+
+    entry: BackendServer | CrashReport | None
+    saved: Reply[bool] | None = None
 
 
 @final
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -9,18 +9,18 @@
 
 from _masticspoke.connections import Connections
 from _masticspoke.decisions.fleet.lineage import Parents
-from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.relays import READ_WAIT_S
 from _masticspoke.decisions.fleet.relays import RelayState
-from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.followers import CONNECT_TIMEOUT_S
+from _masticspoke.fleet.followers import WriterState
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.gate import GateState
 from _masticspoke.fleet.messages import GuardState
+from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.placer import new_placer_state
 from _masticspoke.fleet.placer import PlacerMessage
 from _masticspoke.fleet.placer import PlacerState
@@ -76,7 +76,8 @@
     gate_state: GateState
     run_recorder: Mailbox[RunRecorderMessage]
     run_recorder_state: RunRecorderState
-    unsaved: Mailbox[BackendServer | CrashReport]
+    unsaved: Mailbox[Unsaved]
+    writer_state: WriterState
     suspects: Latest[SuspectView]
     trail: Mailbox[TrailMessage]
     relay_chooser: Mailbox[RelayMessage]
@@ -114,6 +115,7 @@
         run_recorder=Mailbox(_MAILBOX_CAPACITY),
         run_recorder_state=RunRecorderState(),
         unsaved=Mailbox(_MAILBOX_CAPACITY),
+        writer_state=WriterState(),
         suspects=Latest(SuspectView()),
         trail=trail,
         relay_chooser=Mailbox(_MAILBOX_CAPACITY),
--- a/src/_masticspoke/fleet/probe.py
+++ b/src/_masticspoke/fleet/probe.py
@@ -4,6 +4,9 @@
 may be out of date. A request to its health path shows whether the recorded instance
 still accepts requests. If it is leaving, or another instance answers, the gate keeps
 refusing requests until the next heartbeat.
+
+While the log can't be read, a heartbeat is checked in the same way: it may be late, and
+the server may have left before this process started.
 """
 
 from __future__ import annotations
@@ -19,7 +22,9 @@
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.messages import AskLocalBackend
+from _masticspoke.fleet.messages import GuardState
 from _masticspoke.fleet.messages import LocalBackendConfirmed
+from _masticspoke.fleet.messages import LocalCandidate
 from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
@@ -30,10 +35,10 @@
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 
-# The log and the configuration are normally read within the first tries. After the last
-# one, the next heartbeat is expected about as soon as a health check would end.
-_MAX_TRIES = 12
-_TRY_INTERVAL_S = 0.05
+# The log and the configuration are normally read within the first tries.
+_FIRST_TRIES = 12
+_FIRST_INTERVAL_S = 0.05
+_LATER_INTERVAL_S = 0.25
 _HEALTH_CHECK_TIMEOUT_S = 0.5
 
 
@@ -43,46 +48,60 @@
     """What the probe needs.
 
     :param connections: pool that serves one request per connection.
+    :param guard_state: what the gate publishes; it names the server once the gate knows
+        it.
     """
 
     registry: Mailbox[RegistryMessage]
     configuration: Latest[Configuration | None]
     connections: HttpPool
     dialect: Dialect
+    guard_state: Latest[GuardState]
 
 
 def probe(port: ProbePort) -> ChildBody:
-    """Return the body of the task that sends at most one health check at the start."""
+    """Return the body of the task that checks the server until the gate knows it.
+
+    Each state of the server leads to at most one health check.
+    """
 
     async def run(life: Lifecycle) -> None:
         life.mark_started()
-        for _ in range(_MAX_TRIES):
-            await asyncio.sleep(_TRY_INTERVAL_S)
-            server = await _ask_local_backend(port)
+        checked: BackendServer | None = None
+        tries = 0
+        while port.guard_state.value.server is None:
+            first = tries < _FIRST_TRIES
+            await asyncio.sleep(_FIRST_INTERVAL_S if first else _LATER_INTERVAL_S)
+            tries += 1
+            candidate = await _ask_local_backend(port)
             configuration = port.configuration.value
-            if server is None or configuration is None:
+            if candidate is None or configuration is None:
+                continue
+            if candidate.server == checked:
                 continue
-            if server.phase is Phase.READY and await _is_same_instance(
-                port, server, configuration
+            checked = candidate.server
+            if checked.phase is Phase.READY and await _is_same_instance(
+                port, candidate, configuration
             ):
-                port.registry.tell(LocalBackendConfirmed(server))
-            break
+                port.registry.tell(LocalBackendConfirmed(checked))
         await life.stopping()
 
     return run
 
 
-async def _ask_local_backend(port: ProbePort) -> BackendServer | None:
-    reply: Reply[BackendServer | None] = Reply()
+async def _ask_local_backend(port: ProbePort) -> LocalCandidate | None:
+    reply: Reply[LocalCandidate | None] = Reply()
     return await ask(port.registry, AskLocalBackend(reply), reply)
 
 
 async def _is_same_instance(
-    port: ProbePort, server: BackendServer, configuration: Configuration
+    port: ProbePort, candidate: LocalCandidate, configuration: Configuration
 ) -> bool:
+    server = candidate.server
     path = configuration.health_paths.get(server.service)
     if path is None:
-        return False
+        # Only its heartbeats can show that it stays.
+        return candidate.announced
     headers = {"Host": str(server.address)}
     exchange = port.connections.request(
         server.address, "GET", path, headers, b"", _HEALTH_CHECK_TIMEOUT_S
--- a/src/_masticspoke/fleet/registry.py
+++ b/src/_masticspoke/fleet/registry.py
@@ -20,10 +20,12 @@
 from _masticspoke.fleet.messages import Heartbeat
 from _masticspoke.fleet.messages import LocalBackendConfirmed
 from _masticspoke.fleet.messages import LocalBackendState
+from _masticspoke.fleet.messages import LocalCandidate
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.registry_crashes import backend_crashed
 from _masticspoke.fleet.registry_crashes import crash_reports_received
 from _masticspoke.fleet.registry_crashes import run_abandoned
@@ -40,6 +42,7 @@
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
 from _masticspoke.supervise.server import Handlers
 from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
@@ -87,42 +90,120 @@
 
 
 def _heartbeat(state: RegistryTask, message: Heartbeat, now: float) -> None:
-    state.registry.local_heartbeat_received = True
+    state.registry.heartbeat = message.server
     changed = _merge_servers(state, (message.server,), "heartbeat", now)
-    local_server = state.registry.members.by_address.get(state.backend_address)
+    local_server = _local_server(state)
     if local_server is not None and local_server.instance == message.server.instance:
         has_just_started = message.server.sequence <= _MAX_FIRST_SEQUENCE
-        state.port.gate.tell(LocalBackendState(local_server, has_just_started))
+        _inform_gate(state, local_server, has_just_started)
     for server in changed:
-        state.port.unsaved.tell(server)
-    message.reply.answer(True)
+        state.port.unsaved.tell(Unsaved(server))
+    if message.server.phase is Phase.READY:
+        message.reply.answer(True)
+    else:
+        _answer_when_saved(state, message.reply)
+
+
+def _local_server(state: RegistryTask) -> BackendServer | None:
+    return state.registry.members.by_address.get(state.backend_address)
+
+
+def _inform_gate(
+    state: RegistryTask, server: BackendServer, has_just_started: bool = False
+) -> None:
+    """Tell the gate the local backend server's state, unless it may be out of date.
+
+    A heartbeat may be late, and a process that has just started may not know yet that
+    the server has left since.
+    """
+    registry_state = state.registry
+    if server.phase is Phase.READY and not (
+        registry_state.states_heard or registry_state.gate_informed
+    ):
+        return
+    registry_state.gate_informed = True
+    state.port.gate.tell(LocalBackendState(server, has_just_started))
+
+
+def _answer_when_saved(state: RegistryTask, reply: Reply[bool]) -> None:
+    """Answer once the log has what the registry knows of the local backend server.
+
+    The answer is an acknowledgement, which must outlive this process.
+    """
+    state.port.unsaved.tell(Unsaved(None, reply))
 
 
 def _deregistered(state: RegistryTask, message: Deregistered, now: float) -> None:
-    local_server = state.registry.members.by_address.get(state.backend_address)
+    local_server = _local_server(state)
+    if local_server is None and not state.registry.states_heard:
+        state.registry.early_deregistrations.append(message)
+        return
     if local_server is not None and _is_same_instance(message, local_server):
         updated = replace(local_server, phase=max(local_server.phase, message.phase))
         for server in _merge_servers(state, (updated,), "deregistration", now):
-            state.port.unsaved.tell(server)
-            state.port.gate.tell(LocalBackendState(server))
-    message.reply.answer(True)
+            state.port.unsaved.tell(Unsaved(server))
+            _inform_gate(state, server)
+    elif local_server is None:
+        tombstone = _tombstone(state.backend_address, message)
+        for server in _merge_servers(state, (tombstone,), "deregistration", now):
+            state.port.unsaved.tell(Unsaved(server))
+    _answer_when_saved(state, message.reply)
+
+
+def _tombstone(address: Address, message: Deregistered) -> BackendServer:
+    """Return a state that keeps late heartbeats of an unknown instance out."""
+    return BackendServer(
+        address=address,
+        service="",
+        instance=message.instance,
+        born_ms=message.born_ms or 0,
+        sequence=0,
+        zone="",
+        slots=1,
+        phase=Phase.GONE,
+    )
+
+
+def _set_states_heard(state: RegistryTask, now: float) -> None:
+    """Use what was held back until the log had been read once."""
+    if state.registry.states_heard:
+        return
+    state.registry.states_heard = True
+    early = state.registry.early_deregistrations
+    state.registry.early_deregistrations = []
+    for message in early:
+        _deregistered(state, message, now)
+    local_server = _local_server(state)
+    if local_server is not None and _has_announced_itself(state, local_server):
+        has_just_started = local_server.sequence <= _MAX_FIRST_SEQUENCE
+        _inform_gate(state, local_server, has_just_started)
+
+
+def _has_announced_itself(state: RegistryTask, server: BackendServer) -> bool:
+    heartbeat = state.registry.heartbeat
+    return heartbeat is not None and (heartbeat.instance, heartbeat.born_ms) == (
+        server.instance,
+        server.born_ms,
+    )
 
 
 def _ask_local_backend(
     state: RegistryTask, message: AskLocalBackend, now: float
 ) -> None:
-    local_server = state.registry.members.by_address.get(state.backend_address)
-    message.reply.answer(
-        None if state.registry.local_heartbeat_received else local_server
-    )
+    local_server = _local_server(state)
+    if local_server is None or state.registry.gate_informed:
+        message.reply.answer(None)
+        return
+    announced = _has_announced_itself(state, local_server)
+    message.reply.answer(LocalCandidate(local_server, announced))
 
 
 def _local_backend_confirmed(
     state: RegistryTask, message: LocalBackendConfirmed, now: float
 ) -> None:
-    local_server = state.registry.members.by_address.get(state.backend_address)
-    if local_server == message.server and not state.registry.local_heartbeat_received:
-        state.port.gate.tell(LocalBackendState(local_server))
+    if _local_server(state) == message.server and not state.registry.gate_informed:
+        state.registry.gate_informed = True
+        state.port.gate.tell(LocalBackendState(message.server))
 
 
 def _is_same_instance(message: Deregistered, server: BackendServer) -> bool:
@@ -137,18 +218,21 @@
     accepted = tuple(s for s in message.servers if _is_accepted(state, s))
     for server in _merge_servers(state, accepted, message.source, now):
         if server.address == state.backend_address and server.phase is not Phase.READY:
-            state.port.gate.tell(LocalBackendState(server))
+            _inform_gate(state, server)
+    if message.source == LOG_SOURCE:
+        _set_states_heard(state, now)
 
 
 def _is_accepted(state: RegistryTask, server: BackendServer) -> bool:
     """Return whether a state from the log or a peer may be merged.
 
     The local backend server's heartbeats are newer than its state from other sources,
-    but a node that restarted may learn only from others that it is leaving.
+    but a node that restarted may learn only from others that it is leaving, or that the
+    heartbeat was one of an earlier instance.
     """
     if server.address != state.backend_address:
         return True
-    if not state.registry.local_heartbeat_received:
+    if state.registry.heartbeat is None or not state.registry.states_heard:
         return True
     local_server = state.registry.members.by_address[state.backend_address]
     return (server.instance, server.born_ms) == (
@@ -260,6 +344,8 @@
 def _log_not_read(state: RegistryTask, message: LogNotRead, now: float) -> None:
     state.registry.faults.pop(message.source, None)
     state.registry.answered_at.pop(message.source, None)
+    if message.source == state.port.servers_stream:
+        _set_states_heard(state, now)  # the relay has sent its states before
 
 
 _HANDLERS: Handlers[RegistryTask] = {
--- a/src/_masticspoke/fleet/registry_crashes.py
+++ b/src/_masticspoke/fleet/registry_crashes.py
@@ -10,6 +10,7 @@
 from _masticspoke.fleet.crash_messages import RunAbandoned
 from _masticspoke.fleet.crash_messages import SuspectSucceeded
 from _masticspoke.fleet.event_record import EventRecord
+from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.registry_state import RegistryTask
 
 # An abandoned run may go on, so a crash within this time makes it a suspect, seconds.
@@ -42,7 +43,7 @@
     )
     _publish(state, report, now)
     if report is not None:
-        state.port.unsaved.tell(report)
+        state.port.unsaved.tell(Unsaved(report))
 
 
 def run_abandoned(state: RegistryTask, message: RunAbandoned, now: float) -> None:
@@ -67,7 +68,7 @@
     )
     _publish(state, report, now)
     if report is not None:
-        state.port.unsaved.tell(report)
+        state.port.unsaved.tell(Unsaved(report))
 
 
 def crash_reports_received(
--- a/src/_masticspoke/fleet/registry_state.py
+++ b/src/_masticspoke/fleet/registry_state.py
@@ -11,13 +11,14 @@
 from _masticspoke.decisions.fleet.members import Members
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
-from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.decisions.fleet.suspects import Suspects
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.crash_messages import RunAbandoned
 from _masticspoke.fleet.gate import GateMessage
 from _masticspoke.fleet.messages import ConfigurationReceived
+from _masticspoke.fleet.messages import Deregistered
+from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.placer import PlacerMessage
 from _masticspoke.fleet.relay_messages import AskNews
 from _masticspoke.model import Address
@@ -39,8 +40,12 @@
     :param faults: current errors of access to the log, by :attr:`LogHealth.source`.
     :param answered_at: time of the log's last answer, by :attr:`LogHealth.source`.
     :param changed_at: time of the last change of each server.
-    :param local_heartbeat_received: whether the local backend server has sent this node
-        a heartbeat.
+    :param heartbeat: state in the last heartbeat of the local backend server; ``None``
+        before it. It may have been late.
+    :param states_heard: whether the states in the log have been read once, here or by
+        the relay that this node follows.
+    :param early_deregistrations: received before that, of a server not known yet.
+    :param gate_informed: whether the gate knows the local backend server.
     :param identity: identity of this process, for nodes that follow it.
     :param change: number of the last change of a server or crash report.
     :param changes: number of the last change of each server.
@@ -59,7 +64,10 @@
     faults: dict[str, str] = field(default_factory=dict)
     answered_at: dict[str, float] = field(default_factory=dict)
     changed_at: dict[Address, float] = field(default_factory=dict)
-    local_heartbeat_received: bool = False
+    heartbeat: BackendServer | None = None
+    states_heard: bool = False
+    early_deregistrations: list[Deregistered] = field(default_factory=list)
+    gate_informed: bool = False
     identity: int = field(default_factory=lambda: getrandbits(_IDENTITY_BITS))
     change: int = 0
     changes: dict[Address, int] = field(default_factory=dict)
@@ -81,15 +89,17 @@
         that are to be appended to the log.
     :param suspects: requests that were running at crashes.
     :param configuration_stream: stream of the log that holds the configuration.
+    :param servers_stream: stream of the log that holds the states of backend servers.
     """
 
     configuration: Latest[Configuration | None]
     gate: Mailbox[GateMessage]
     placer: Mailbox[PlacerMessage]
-    unsaved: Mailbox[BackendServer | CrashReport]
+    unsaved: Mailbox[Unsaved]
     suspects: Latest[SuspectView]
     trail: Mailbox[TrailMessage]
     configuration_stream: str
+    servers_stream: str
 
 
 @final
--- a/testing/fleet/platform_fleet.py
+++ b/testing/fleet/platform_fleet.py
@@ -18,6 +18,7 @@
 from testing.live.fleet import free_port
 from testing.standins.log_service import application
 from testing.standins.log_service import LogService
+from testing.standins.platform_backend import HEALTH_PATH
 from testing.standins.platform_backend import PlatformBackend
 from testing.standins.platform_operator import COLUMNS
 
@@ -47,9 +48,9 @@
 @dataclass
 class Node:
     parts: FleetParts
-    backend: PlatformBackend
     life: Lifecycle
     task: asyncio.Task[None]
+    backend: PlatformBackend
 
     @property
     def clients(self) -> str:
@@ -73,13 +74,19 @@
     ids: count[int] = field(default_factory=count)
     stop_timeout_s: float = 1.0
 
-    def publish(self, *rows: list[object]) -> None:
-        """Publish a configuration to the log; each row is a route."""
+    def publish(self, *rows: list[object], checked: tuple[str, ...] = ()) -> None:
+        """Publish a configuration to the log; each row is a route.
+
+        :param checked: services with a health check.
+        """
         self.version += 10
         value = {
             "version": self.version,
             "routes": {"columns": COLUMNS, "rows": list(rows)},
-            "services": {"columns": ["name", "health_check_path"], "rows": []},
+            "services": {
+                "columns": ["name", "health_check_path"],
+                "rows": [[service, HEALTH_PATH] for service in checked],
+            },
             "limits": {"max_body_bytes": 65536},
         }
         record = keyed_record("config", json.dumps(value).encode())
@@ -117,16 +124,27 @@
             **options,  # type: ignore[arg-type]
         )
         await backend.start()
-        parts = new_fleet_parts(settings, DIALECT)
-        life = Lifecycle()
-        body = platform_tree(parts, self.folder / "node.ini")
-        task = asyncio.create_task(body(life))  # type: ignore[arg-type]
-        node = Node(parts, backend, life, task)
+        node = Node(*self._start(settings), backend=backend)
         self.nodes.append(node)
-        await life.started()
+        await node.life.started()
         assert await backend.announce(self.session, node.control_plane) == 200
         return node
 
+    def _start(
+        self, settings: FleetSettings
+    ) -> tuple[FleetParts, Lifecycle, asyncio.Task[None]]:
+        parts = new_fleet_parts(settings, DIALECT)
+        life = Lifecycle()
+        body = platform_tree(parts, self.folder / "node.ini")
+        return parts, life, asyncio.create_task(body(life))  # type: ignore[arg-type]
+
+    async def restart(self, node: Node) -> None:
+        """End a node at once and start it anew; its backend server goes on."""
+        node.task.cancel()
+        await asyncio.gather(node.task, return_exceptions=True)
+        node.parts, node.life, node.task = self._start(node.parts.settings)
+        await node.life.started()
+
     async def wait_until_synchronised(self) -> None:
         """Wait until every node knows every backend server and the configuration."""
 
@@ -174,7 +192,10 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         log = LogService()
-        runner = web.AppRunner(application(log), shutdown_timeout=0.1)
+        # A request whose node is ended while the log delays it is not handled.
+        runner = web.AppRunner(
+            application(log), shutdown_timeout=0.1, handler_cancellation=True
+        )
         await runner.setup()
         fleet = PlatformFleet(session, folder, runner, log)
         try:
--- a/testing/fleet/test_registry.py
+++ b/testing/fleet/test_registry.py
@@ -35,6 +35,7 @@
             Latest(SuspectView()),
             self.trail,
             "keyed.op",
+            "keyed.servers",
         )
         body = registry(
             self.inbox, RegistryState(), port, server(1).address, lambda: self.now
--- a/testing/standins/platform_backend.py
+++ b/testing/standins/platform_backend.py
@@ -17,6 +17,7 @@
 import aiohttp
 from aiohttp import web
 
+HEALTH_PATH = "/health"
 LONG_BODY = bytes(range(256)) * 8_192
 
 
@@ -41,6 +42,7 @@
     :param endless_bytes: bytes sent in answers without end.
     :param faults: keys of ``FAULTS``, or ``shed``, for the next requests in order.
     :param arrivals: the requests that it ran.
+    :param healthy: result of its health check.
     :param requests: number of requests received for this instance, including those
         that it shed.
     """
@@ -59,6 +61,8 @@
     running: int = 0
     endless_bytes: int = 0
     requests: int = 0
+    healthy: bool = True
+    health_checks: int = 0
     sequence: int = 0
     runner: web.ServerRunner | None = None
 
@@ -75,6 +79,10 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers.get("X-Attempt-Id", "")
+        if request.path == HEALTH_PATH:
+            self.health_checks += 1
+            names = {"X-Instance-Id": self.instance}
+            return web.Response(status=200 if self.healthy else 503, headers=names)
         if request.headers.get("X-Expected-Instance") != self.instance:
             return web.Response(status=421, headers={"X-Instance-Id": self.instance})
         self.requests += 1
@@ -119,8 +127,12 @@
         :param control_plane: address where the node receives heartbeats.
         :return: status of the answer.
         """
+        return await self.send(session, control_plane, self.heartbeat(state))
+
+    def heartbeat(self, state: str = "ready") -> dict[str, object]:
+        """Return the body of the next heartbeat."""
         self.sequence += 1
-        heartbeat = {
+        return {
             "service": self.service,
             "address": f"{self.host}:{self.port}",
             "zone": "z1",
@@ -131,10 +143,28 @@
             "sequence": self.sequence,
             "born": self.born,
         }
+
+    async def send(
+        self,
+        session: aiohttp.ClientSession,
+        control_plane: str,
+        heartbeat: dict[str, object],
+    ) -> int:
+        """Send a heartbeat, perhaps late; return the status of the answer."""
         url = f"http://{control_plane}/Instances.Heartbeat/{self.instance}"
         async with session.post(url, json=heartbeat) as answer:
             return answer.status
 
+    async def deregister(
+        self, session: aiohttp.ClientSession, control_plane: str
+    ) -> int:
+        """Tell a node that the server leaves; return the status of the answer."""
+        self.sequence += 1
+        body = {"sequence": self.sequence, "born": self.born}
+        url = f"http://{control_plane}/Instances.Deregister/{self.instance}"
+        async with session.post(url, json=body) as answer:
+            return answer.status
+
 
 MakeAnswer = Callable[
     [PlatformBackend, web.BaseRequest, str], Coroutine[Any, Any, web.StreamResponse]
