--- a/testing/fleet/test_broken_off_answers.py
+++ b/testing/fleet/test_broken_off_answers.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections import Counter
+from itertools import count
 from pathlib import Path
 
 import aiohttp
@@ -72,3 +75,47 @@
         server.close()
 
     run_scenario(tmp_path, scenario)
+
+
+HEADS = {
+    "length": "Content-Length: 5\r\nX-Response-Signature: s\r\n\r\n",
+    "length last": "X-Response-Signature: s\r\nContent-Length: 5\r\n\r\n",
+    "unframed": "X-Response-Signature: s\r\nConnection: close\r\n\r\n",
+    "chunked": "Transfer-Encoding: chunked\r\nX-Response-Signature: s\r\n\r\n",
+}
+
+
+# MIXED, ORDER: a head that broke off reached the client as a whole answer.
+@pytest.mark.parametrize("hops", [1, 2])
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_answer_that_breaks_off_within_its_head_is_no_success(
+    tmp_path: Path, head: str, hops: int
+) -> None:
+    cuts = count(1)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(EOFError):  # a probe for a crash sends nothing
+            request = (await reader.readuntil(b"\r\n\r\n")).decode()
+            lines = request.split("\r\n")[1:]
+            fields = dict(line.split(": ", 1) for line in lines if line)
+            answer = ECHO.format(fields["X-Attempt-Id"]) + head
+            writer.write(answer.encode()[: min(next(cuts), len(answer) - 1)])
+            await writer.drain()
+        writer.close()
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(BOOK)
+        nodes = [await fleet.add("desk"), await fleet.add("board")]
+        await fleet.wait_until_synchronised()
+        await nodes[0].backend.stop()
+        address = nodes[0].parts.settings.backend
+        server = await asyncio.start_server(serve, address.host, address.port)
+        statuses = Counter[int]()
+        for _ in range(len(ECHO.format("r10") + head)):
+            status, _, _ = await fleet.ask(nodes[hops - 1], "/book/1", "POST")
+            statuses[status] += 1
+        assert set(statuses) <= {502, 503}
+        assert statuses[502] == next(cuts) - 1  # one for each run
+        server.close()
+
+    run_scenario(tmp_path, scenario)
