An answer that has begun is the only one of its request

Cause: the timer of an exchange raised a timeout although the answer had been read to its end, and the server wrote the 504 behind the answer that it had streamed. Change: an exchange whose answer was read to its end has not timed out; a connection writes nothing more for a request once its answer has begun, logs 1104 and closes.

--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -36,6 +36,7 @@
     CHILD_CRASHED = EventSpec(1101, "ERROR", "task crashed and is restarted")
     MAILBOX_FULL = EventSpec(1102, "WARNING", "mailbox full, message refused")
     HANDLER_CRASHED = EventSpec(1103, "ERROR", "request handler crashed")
+    SECOND_ANSWER_DROPPED = EventSpec(1104, "WARNING", "second answer dropped")
     REQUESTS_CUT = EventSpec(1201, "WARNING", "requests cut at the stop time limit")
     CATALOGUE_IN_FORCE = EventSpec(2001, "INFO", "catalogue version in force")
     CATALOGUE_REJECTED = EventSpec(2002, "WARNING", "catalogue change not accepted")
--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -139,10 +139,16 @@
         raise ExpiredError(str(self._request.address))
 
     async def __aexit__(self, *exc: object) -> None:
-        """Return the connection to the pool, or abort it if it cannot be reused."""
+        """Return the connection to the pool, or abort it if it cannot be reused.
+
+        An answer that was read to its end has not timed out, even if the reader took
+        longer than the server.
+        """
         upstream = self._upstream
         complete = upstream is not None and exc[0] is None and upstream.content.is_eof()
         self._finish(complete)
+        if complete:
+            return
         if self._expired and (exc[0] is None or isinstance(exc[1], Exception)):
             raise ExpiredError(str(self._request.address))
 
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -212,10 +212,15 @@
 
 @final
 class ServerConnection(BaseProtocol):
-    """One client's connection and the task that answers its requests."""
+    """One client's connection and the task that answers its requests.
+
+    Each request gets one answer: once a part of it has been written, whatever else the
+    handler returns is dropped, and the connection serves no further request.
+    """
 
     __slots__ = (
         "__weakref__",
+        "_answer_begun",
         "_handler",
         "_head_started_at",
         "_idle_since",
@@ -248,6 +253,8 @@
         self._last_content: StreamReader = EMPTY_PAYLOAD
         self._waiter: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
+        # Whether any part of the answer to the current request has been written.
+        self._answer_begun = False
         # Set by a malformed request or a protocol upgrade; later data is ignored.
         self._stopped_parsing = False
         # Counted since the connection was last idle.
@@ -365,6 +372,7 @@
             self._write(Response(400), closes=True)
             return True
         head, content = message
+        self._answer_begun = False
         self._server.in_flight.begin()
         try:
             request = Request(head.method, head.path, head.headers, content, self)
@@ -372,7 +380,10 @@
             closes = head.should_close or head.version != _HTTP_1_1
             closes = closes or self._server.draining or self._stopped_parsing
             body_unread = not content.is_eof()
-            if isinstance(response, Response):
+            if isinstance(response, Response) and self._answer_begun:
+                log_event(Event.SECOND_ANSWER_DROPPED, status=response.status)
+                closes = True
+            elif isinstance(response, Response):
                 omit_body = head.method == "HEAD"
                 self._write(response, closes or body_unread, omit_body)
                 await self._drain_helper()
@@ -443,6 +454,7 @@
                 headers = CIMultiDict([*headers.items(), _CHUNKED])
             encode = _whole if length is not None else _encode_chunk
             head = _encode_response_head(status, headers, length, self._server.draining)
+            self._answer_begun = True
             self.transport.write(head)
             async for chunk in body:
                 await self._drain_helper()
--- a/testing/test_http_pool.py
+++ b/testing/test_http_pool.py
@@ -117,6 +117,24 @@
     assert run_scenario(scenario()) == 2
 
 
+# MIXED: a slow reader of a whole answer was taken for a server that timed out.
+def test_answer_that_arrived_in_time_may_be_read_later() -> None:
+    async def scenario() -> bytes:
+        async def handle(request: web.BaseRequest) -> web.Response:
+            return web.Response(body=b"whole")
+
+        pool = HttpPool(1.0)
+        async with run_server(web.Server(handle)) as port:
+            address = Address("127.0.0.1", port)
+            async with pool.request(address, "GET", "/", HOST, b"", 0.2) as answer:
+                await asyncio.sleep(0.3)
+                body = await answer.content.read()
+            pool.close_idle(0.0)
+        return body
+
+    assert run_scenario(scenario()) == b"whole"
+
+
 def test_refused_connection_raises_not_connected() -> None:
     """The exception tells the caller that nothing was sent."""
 
--- a/testing/test_http_server.py
+++ b/testing/test_http_server.py
@@ -42,12 +42,24 @@
             raise ZeroDivisionError
         if request.path.startswith("/early"):
             return Response(200, body=b"early")
+        if request.path.startswith("/twice"):
+            return await _answer_twice(request)
         if request.path.startswith("/cut"):
             return await _stream_truncated(request)
         self.bodies.append(await request.body(LIMITS.body_bytes))
         return Response(200, {"X-Path": request.path}, b"<" + self.bodies[-1] + b">")
 
 
+async def _answer_twice(request: Request) -> Response:
+    body = StreamReader(request.connection, 65_536, loop=asyncio.get_running_loop())
+    body.feed_data(b"first")
+    body.feed_eof()
+    await request.stream(200, {}, 5, body.iter_any())
+    if request.path.endswith("crash"):
+        raise ZeroDivisionError
+    return Response(504)
+
+
 async def _stream_truncated(request: Request) -> Streamed:
     body = StreamReader(request.connection, 65_536, loop=asyncio.get_running_loop())
     body.feed_data(b"half")
@@ -308,3 +320,16 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+# MIXED: the next request on the connection got the second answer.
+@pytest.mark.parametrize("path", [b"/twice", b"/twice-crash"])
+def test_second_answer_is_dropped_and_the_connection_closed(path: bytes) -> None:
+    async def scenario(running: RunningServer) -> None:
+        request = b"GET %b HTTP/1.1\r\n" + HOST + b"\r\n"
+        answer = await running.send_raw(request % path + request % b"/next")
+        assert answer.count(b"HTTP/1.1") == 1
+        assert answer.endswith(b"first")
+        assert running.recorder.paths == [path.decode()]
+
+    run_scenario(scenario)
