Names of other writers are checked at the border, and a merge changes nothing if it raises

Cause: the codec accepted any text; the merge stored the state and then raised while it computed the checksum, and the state outlives the task, so each digest raised from then on. Change: names are printable and at most 255 bytes in states, crash reports, heartbeats, deregistrations and configurations; a health path is a path; merge computes the checksum before it changes anything.

--- a/src/_masticspoke/border/backend_state.py
+++ b/src/_masticspoke/border/backend_state.py
@@ -7,6 +7,7 @@
 
 from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.json_values import MALFORMED
+from _masticspoke.border.json_values import plain_text
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
@@ -36,16 +37,13 @@
         address, service, instance, born_ms, sequence, zone, slots, phase, warm_ms = (
             values
         )
-        texts = (service, instance, zone)
-        if not all(isinstance(text, str) for text in texts):
-            return None
         return BackendServer(
             parse_address(address),
-            service,
-            instance,
+            plain_text(service),
+            plain_text(instance),
             whole_number(born_ms),
             whole_number(sequence),
-            zone,
+            plain_text(zone),
             whole_number(slots, 1, MAX_SLOTS),
             Phase(phase),
             whole_number(warm_ms),
--- a/src/_masticspoke/border/crash_report.py
+++ b/src/_masticspoke/border/crash_report.py
@@ -7,6 +7,7 @@
 
 from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.json_values import MALFORMED
+from _masticspoke.border.json_values import plain_text
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.suspects import Crash
 from _masticspoke.decisions.fleet.suspects import CrashReport
@@ -66,13 +67,11 @@
 
 def _crash(address: Address, values: Any) -> Crash:
     instance, born_ms, at_ms, digits = values
-    if not isinstance(instance, str):
-        raise TypeError("the instance is not a text")
     if len(digits) > MAX_REQUESTS * _DIGITS:
         raise ValueError("too many fingerprints")
     starts = range(0, len(digits), _DIGITS)
     fingerprints = frozenset(_fingerprint(digits[i : i + _DIGITS]) for i in starts)
-    incarnation = Incarnation(address, instance, whole_number(born_ms))
+    incarnation = Incarnation(address, plain_text(instance), whole_number(born_ms))
     return Crash(incarnation, whole_number(at_ms), fingerprints)
 
 
--- a/src/_masticspoke/border/json_values.py
+++ b/src/_masticspoke/border/json_values.py
@@ -15,6 +15,8 @@
     OverflowError,
     RecursionError,
 )
+# Longest name in UTF-8; a key of the log can't be longer.
+MAX_TEXT_BYTES = 255
 # Largest whole number that every JSON implementation represents exactly.
 MAX_WHOLE = 2**53
 
@@ -31,6 +33,22 @@
     return value
 
 
+def plain_text(value: Any) -> str:
+    """Return a JSON value that must be a name: printable, and not too long.
+
+    It can be encoded, so it may stand in a header, a log record or a log line. Half of
+    a surrogate pair, which JSON can hold, can't.
+
+    :raises TypeError: if it is of another type.
+    :raises ValueError: if it is longer than :data:`MAX_TEXT_BYTES`, or not printable.
+    """
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    if not value.isprintable() or len(value.encode()) > MAX_TEXT_BYTES:
+        raise ValueError("not a printable text of a name's length")
+    return value
+
+
 def finite_number(value: Any) -> float:
     """Return a JSON value as a number.
 
--- a/src/_masticspoke/decisions/fleet/members.py
+++ b/src/_masticspoke/decisions/fleet/members.py
@@ -60,8 +60,9 @@
         known = members.by_address.get(server.address)
         if not is_newer(server, known):
             continue
+        checksum = _checksum(server)  # before any change, as it may raise
         members.by_address[server.address] = server
-        members.checksums[server.address] = _checksum(server)
+        members.checksums[server.address] = checksum
         if must_propagate(server, known):
             changed.append(server)
     return changed
--- a/src/_masticspoke/platform/configuration.py
+++ b/src/_masticspoke/platform/configuration.py
@@ -8,6 +8,7 @@
 
 from _masticspoke.border.json_values import finite_number
 from _masticspoke.border.json_values import MALFORMED
+from _masticspoke.border.json_values import plain_text
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Limits
@@ -17,6 +18,7 @@
 
 # Defaults for routes that don't set the field.
 _DEFAULT_TIMEOUT_MS = 30_000.0
+_DEFAULT_HEALTH_PATH = "/health"
 _DEFAULT_PRIORITY = 9  # the least urgent
 
 
@@ -32,7 +34,7 @@
             version=whole_number(document["version"]),
             routes={(route.host, route.prefix): route for route in routes},
             health_paths={
-                row["name"]: row.get("health_check_path") or "/health"
+                plain_text(row["name"]): _path(row.get("health_check_path"))
                 for row in _rows(document.get("services") or {})
             },
             limits=_limits(document.get("limits") or {}),
@@ -41,6 +43,13 @@
         return None
 
 
+def _path(value: Any) -> str:
+    path = plain_text(value or _DEFAULT_HEALTH_PATH)
+    if not path.startswith("/") or " " in path:
+        raise ValueError("not a path")
+    return path
+
+
 def _rows(table: Mapping[str, Any]) -> list[dict[str, Any]]:
     """Return a table's rows by column name, without fields that are null."""
     columns = table.get("columns", [])
@@ -51,9 +60,9 @@
 def _route(row: Mapping[str, Any]) -> Route:
     timeout_ms = finite_number(row.get("timeout_ms", _DEFAULT_TIMEOUT_MS))
     return Route(
-        name=str(row["name"]),
-        host=str(row["host"]).lower(),
-        prefix=str(row["path_prefix"]),
+        name=plain_text(row["name"]),
+        host=plain_text(row["host"]).lower(),
+        prefix=plain_text(row["path_prefix"]),
         idempotent=row.get("route_kind") in IDEMPOTENT_KINDS,
         timeout_s=timeout_ms / 1000,
         objective_s=finite_number(row.get("target_latency_ms", timeout_ms)) / 1000,
@@ -67,9 +76,10 @@
     clusters = row.get("weighted_clusters")
     if clusters:
         return tuple(
-            Share(str(c["service"]), finite_number(c["weight"])) for c in clusters
+            Share(plain_text(c["service"]), finite_number(c["weight"]))
+            for c in clusters
         )
-    return (Share(str(row["service"]), 1.0),)
+    return (Share(plain_text(row["service"]), 1.0),)
 
 
 def _limits(limits: Mapping[str, Any]) -> Limits:
--- a/src/_masticspoke/platform/control_plane.py
+++ b/src/_masticspoke/platform/control_plane.py
@@ -14,6 +14,8 @@
 from _masticspoke.border.addresses import parse_address
 from _masticspoke.border.backend_state import MAX_SLOTS
 from _masticspoke.border.json_values import MALFORMED
+from _masticspoke.border.json_values import MAX_WHOLE
+from _masticspoke.border.json_values import plain_text
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -85,10 +87,13 @@
 
 async def _deregister(registry: Mailbox[RegistryMessage], request: Request) -> Response:
     instance = unquote(request.path[len(DEREGISTER_PREFIX) :])
+    if not _is_name(instance):
+        return Response(400, body=b"deregistration: the id is missing or no name\n")
     deregistration = _json_object(await request.body(_MAX_BODY_BYTES))
     born = deregistration.get("born")
     reply: Reply[bool] = Reply()
-    message = Deregistered(instance, born if _is_int(born) else None, Phase.GONE, reply)
+    born_ms = born if _is_int(born) and 0 <= born <= MAX_WHOLE else None
+    message = Deregistered(instance, born_ms, Phase.GONE, reply)
     return await _ask_registry(registry, message, reply)
 
 
@@ -121,8 +126,8 @@
     """
     heartbeat = _json_object(body)
     texts = [heartbeat.get(name) for name in ("service", "zone", "address")]
-    if not instance or not all(isinstance(text, str) and text for text in texts):
-        return "id, service, zone or address is missing"
+    if not all(_is_name(text) for text in (instance, *texts)):
+        return "id, service, zone or address is missing or no name"
     phase = PHASE_BY_STATE.get(str(heartbeat.get("state")))
     if phase is None:
         return "state is unknown"
@@ -151,5 +156,12 @@
     )
 
 
+def _is_name(value: Any) -> bool:
+    try:
+        return plain_text(value) != ""
+    except MALFORMED:
+        return False
+
+
 def _is_int(value: Any) -> TypeGuard[int]:
     return isinstance(value, int) and not isinstance(value, bool)
--- a/testing/decisions/fleet/test_members.py
+++ b/testing/decisions/fleet/test_members.py
@@ -2,6 +2,7 @@
 
 from itertools import permutations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testing.decisions.fleet.samples import server
@@ -89,3 +90,12 @@
 
     assert ready_servers(members, "desk") == ()
     assert len(ready_servers(members, "board")) == 1
+
+
+# Fault: a state without its checksum stayed behind when the merge raised.
+def test_state_that_cannot_be_merged_leaves_no_trace() -> None:
+    members = Members()
+    with pytest.raises(UnicodeEncodeError):
+        merge(members, [server(1, instance="\ud83d")])
+    assert digest(members) == 0
+    assert members.by_address == {}
