A stop waits until answers have left the process

Cause: a handler ends when its answer is below the transport's high-water mark; the drain waited for handlers only, and the end of the loop dropped the buffers. Evidence: the node ended 3.6 s before its grace, without event 1201.

--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -77,6 +77,7 @@
                 accept_queue,
                 server,
                 in_flight,
+                lambda: server.connections,
                 stop,
                 clock,
                 last_requests_wait_s,
--- a/src/_masticspoke/fleet/listening.py
+++ b/src/_masticspoke/fleet/listening.py
@@ -48,6 +48,7 @@
                 accept_queue,
                 server,
                 server.in_flight,
+                lambda: server.connections,
                 stop,
                 clock,
                 last_requests_wait_s,
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -173,6 +173,11 @@
         """Counter of the requests that are not answered yet."""
         return self._in_flight
 
+    @property
+    def connections(self) -> tuple[ServerConnection, ...]:
+        """The open connections, and those that close once their data is sent."""
+        return tuple(self._connections)
+
     @property
     def draining(self) -> bool:
         """Whether each answer closes its connection."""
