A send without time left expires in place of a 500

Cause: for a delay of 0, uvloop's call_later returns a handle without when(). Change: an exchange keeps its deadline and asks no handle.

--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -107,7 +107,15 @@
 class Exchange:
     """One request and its answer on a connection of a pool."""
 
-    __slots__ = ("_connection", "_expired", "_pool", "_request", "_timer", "_upstream")
+    __slots__ = (
+        "_connection",
+        "_deadline",
+        "_expired",
+        "_pool",
+        "_request",
+        "_timer",
+        "_upstream",
+    )
 
     def __init__(
         self, pool: HttpPool, request: _Request, timeout_s: float | None
@@ -117,9 +125,11 @@
         self._connection: ClientConnection | None = None
         self._upstream: UpstreamAnswer | None = None
         self._expired = False
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
+        self._deadline: float | None = None
         if timeout_s is not None:
             loop = asyncio.get_running_loop()
+            self._deadline = loop.time() + timeout_s
             self._timer = loop.call_later(max(0.0, timeout_s), self._expire)
 
     async def __aenter__(self) -> UpstreamAnswer:
@@ -153,10 +163,10 @@
             raise ExpiredError(str(self._request.address))
 
     def _left_s(self) -> float | None:
-        timer = self._timer
-        if timer is None:
+        # The handle that uvloop returns for a delay of 0 doesn't know its time.
+        if self._deadline is None:
             return None
-        return max(0.0, timer.when() - asyncio.get_running_loop().time())
+        return max(0.0, self._deadline - asyncio.get_running_loop().time())
 
     def _expire(self) -> None:
         self._expired = True
--- a/testing/test_http_pool.py
+++ b/testing/test_http_pool.py
@@ -9,10 +9,12 @@
 
 import aiohttp
 import pytest
+import uvloop
 from aiohttp import web
 from testing.live.fleet import free_port
 from testing.test_node import run_server
 
+from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
 from _masticspoke.http_pool import NotConnectedError
 from _masticspoke.model import Address
@@ -117,6 +119,28 @@
     assert run_scenario(scenario()) == 2
 
 
+# A send whose time had just run out ended with AttributeError and a 500.
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+@pytest.mark.parametrize("timeout_s", [0.0, -1.0])
+def test_request_without_time_left_expires(
+    new_loop: Callable[[], asyncio.AbstractEventLoop], timeout_s: float
+) -> None:
+    async def scenario() -> None:
+        async def handle(request: web.BaseRequest) -> web.Response:
+            return web.Response(body=b"whole")
+
+        pool = HttpPool(1.0)
+        async with run_server(web.Server(handle)) as port:
+            address = Address("127.0.0.1", port)
+            exchange = pool.request(address, "GET", "/", HOST, b"", timeout_s)
+            with pytest.raises((ExpiredError, NotConnectedError)):
+                async with exchange:
+                    pass
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(scenario())
+
+
 # MIXED: a slow reader of a whole answer was taken for a server that timed out.
 def test_answer_that_arrived_in_time_may_be_read_later() -> None:
     async def scenario() -> bytes:
