A request that waited doesn't run at another service

Cause: the services were compared when the request arrived, not when it was sent. Change: the guard compares them at the send and declines with moved.

--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -214,6 +214,9 @@
     if server is None or left_s <= 0:
         reason = NotRun.ABSENT if server is None else NotRun.TOO_LATE
         return Declined(reason, _DEFAULT_RETRY_S)
+    if server.service != job.service:
+        # Another service has taken the address while the request waited.
+        return Declined(NotRun.MOVED, _DEFAULT_RETRY_S)
     sent_at = port.clock()
     headers = outgoing.headers.copy()
     port.dialect.set_backend_headers(headers, job, server.instance, left_s)
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -232,6 +232,27 @@
     run_scenario(tmp_path, scenario)
 
 
+# ROUTE: a request that waited for a silent server ran at its successor at the address.
+def test_waiting_request_does_not_run_at_another_service(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ, BOOK)
+        desk = await fleet.add("desk", slots=1, run_s=0.3)
+        await fleet.wait_until_synchronised()
+        first = asyncio.create_task(fleet.ask(desk, "/book/1", "POST"))
+        await wait_until(lambda: len(arrivals(desk)) == 1)
+        waiting = asyncio.create_task(fleet.ask(desk, "/book/2", "POST"))
+        await asyncio.sleep(0.05)
+        desk.backend.service = "board"
+        desk.backend.instance = "i-other"
+        desk.backend.born += 5_000
+        assert await desk.backend.announce(fleet.session, desk.control_plane) == 200
+        await first
+        assert (await waiting)[0] == 503
+        assert len(arrivals(desk)) == 1
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_node_gets_the_configuration_from_a_peer_while_the_log_is_down(
     tmp_path: Path,
 ) -> None:
