--- a/src/_masticspoke/draining.py
+++ b/src/_masticspoke/draining.py
@@ -18,7 +18,7 @@
 from _masticspoke.supervise.supervisor import Clock
 
 BACKLOG = 1024
-# Pause before data is looked for again on a transport without flow control.
+# Time between two looks at what the kernel has not taken yet.
 _UNSENT_POLL_S = 0.02
 
 
@@ -61,8 +61,8 @@
     while (left_s := stop.left_s(clock())) > 0:
         if in_flight.count:
             await in_flight.wait_idle(left_s)
-        elif unsent := _unsent(connections()):
-            await _wait_sent(unsent[0], left_s)
+        elif _unsent(connections()):
+            await asyncio.sleep(min(_UNSENT_POLL_S, left_s))
         else:
             return
     cut = in_flight.count or len(_unsent(connections()))
@@ -84,19 +84,6 @@
     ]
 
 
-async def _wait_sent(connection: BaseProtocol, timeout_s: float) -> None:
-    """Wait until the kernel has taken all data of a connection, or it is lost."""
-    transport = connection.transport
-    assert transport is not None
-    transport.set_write_buffer_limits(0)  # the protocol is paused until it is empty
-    if not connection.writing_paused:
-        await asyncio.sleep(_UNSENT_POLL_S)
-        return
-    with contextlib.suppress(ConnectionError, TimeoutError):
-        async with asyncio.timeout(timeout_s):
-            await connection._drain_helper()
-
-
 async def _serve_queue(
     accept_queue: socket.socket, protocol_factory: Callable[[], asyncio.Protocol]
 ) -> None:
