A booking that waits at another node is withdrawn when its client leaves

Cause: a run that must not happen twice is a task of its own, which also outlived its sender while the request still waited in the gate. Change: when the connection to the sender closes, the run recorder cancels the task of a request that has not been sent, and records that it has not run; one that runs goes on.

--- a/src/_masticspoke/fleet/guarding.py
+++ b/src/_masticspoke/fleet/guarding.py
@@ -158,25 +158,38 @@
         return self.guard_state.value.load
 
 
+def _ignore_start() -> None:
+    """Do nothing when a run starts."""
+
+
 async def run_job(
-    port: GuardPort, job: Job, outgoing: ForwardedRequest, stream_answer: StreamAnswer
+    port: GuardPort,
+    job: Job,
+    outgoing: ForwardedRequest,
+    stream_answer: StreamAnswer,
+    on_start: Callable[[], None] = _ignore_start,
 ) -> RunResult:
     """Run a job at the local backend server once the gate admits it.
 
     Return the answer, or why there is none.
 
     :param stream_answer: forwards an answer longer than ``MAX_BUFFERED_ANSWER_BYTES``.
+    :param on_start: called when the job has been admitted, before it is sent.
     """
     quarantined_s = quarantine_s(port.crash_watch, outgoing, job.caller)
     if quarantined_s > 0:
         declined = Declined(NotRun.QUARANTINED, quarantined_s)
         _log_declined(port, job, declined)
         return declined
-    return await _admit_and_run(port, job, outgoing, stream_answer)
+    return await _admit_and_run(port, job, outgoing, stream_answer, on_start)
 
 
 async def _admit_and_run(
-    port: GuardPort, job: Job, outgoing: ForwardedRequest, stream_answer: StreamAnswer
+    port: GuardPort,
+    job: Job,
+    outgoing: ForwardedRequest,
+    stream_answer: StreamAnswer,
+    on_start: Callable[[], None],
 ) -> RunResult:
     ticket = next(port.tickets)
     reply: Reply[Verdict] = Reply()
@@ -190,6 +203,7 @@
             _log_declined(port, job, declined)
             return declined
         admitted = True
+        on_start()
         record_run_start(port.parents, job.request_id, job.is_retry)
         result = await _run_at_backend(port, job, outgoing, stream_answer)
         if isinstance(result, Answer) and result.status >= _MIN_FAILURE_STATUS:
--- a/src/_masticspoke/fleet/inbound.py
+++ b/src/_masticspoke/fleet/inbound.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -38,6 +39,8 @@
 from _masticspoke.fleet.run_recorder import AskOutcome
 from _masticspoke.fleet.run_recorder import RunOnce
 from _masticspoke.fleet.run_recorder import RunRecorderMessage
+from _masticspoke.fleet.run_recorder import RunStarted
+from _masticspoke.fleet.run_recorder import SenderLeft
 from _masticspoke.fleet.sending import AnswerForwarder
 from _masticspoke.http_pool import UpstreamAnswer
 from _masticspoke.http_server import Handler
@@ -101,8 +104,12 @@
         headers.update(_leaving_headers(guard))
         return await forwarder.forward(upstream, headers, start)
 
+    def on_start() -> None:
+        if not job.idempotent:
+            port.run_recorder.tell(RunStarted(job.request_id))
+
     async def run() -> RunResult:
-        return await run_job(guard, job, outgoing, stream_answer)
+        return await run_job(guard, job, outgoing, stream_answer, on_start)
 
     result = await (run() if job.idempotent else _run_once(port, job, run))
     return _response(guard, result)
@@ -113,7 +120,11 @@
 ) -> RunResult:
     reply: Reply[RunResult | None] = Reply()
     message = RunOnce(job.request_id, run, reply)
-    result = await ask_or(port.run_recorder, message, reply, None)
+    try:
+        result = await ask_or(port.run_recorder, message, reply, None)
+    except asyncio.CancelledError:
+        port.run_recorder.tell(SenderLeft(job.request_id))
+        raise
     return _WILL_NOT_RUN if result is None else result
 
 
--- a/src/_masticspoke/fleet/run_recorder.py
+++ b/src/_masticspoke/fleet/run_recorder.py
@@ -1,7 +1,7 @@
 """The run recorder: owns runs that must not happen twice, and keeps their results.
 
 Such a run continues when the connection to its sender breaks, so that the sender can
-still fetch the answer.
+still fetch the answer. A request that waits then is withdrawn.
 """
 
 from __future__ import annotations
@@ -14,8 +14,10 @@
 from typing import final
 
 from _masticspoke.decisions.fleet import run_records
+from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.run_records import RunRecords
 from _masticspoke.decisions.fleet.run_records import RunStatus
+from _masticspoke.fleet.guarding import Declined
 from _masticspoke.fleet.guarding import Interrupted
 from _masticspoke.fleet.guarding import RunResult
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -45,6 +47,25 @@
     reply: Reply[RunResult | None]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class RunStarted:
+    """Run task to run recorder: the request is sent to the backend server now."""
+
+    request_id: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SenderLeft:
+    """Inbound listener to run recorder: the connection to a request's sender is closed.
+
+    Its client may have left, or the sender asks for the outcome.
+    """
+
+    request_id: str
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class RunOnceEnded:
@@ -69,7 +90,9 @@
     reply: Reply[RunResult | None]
 
 
-RunRecorderMessage = RunOnce | RunOnceEnded | AskOutcome
+RunRecorderMessage = RunOnce | RunStarted | SenderLeft | RunOnceEnded | AskOutcome
+# Result of a request that was still waiting when its sender left.
+_WITHDRAWN = Declined(NotRun.BUSY, 0.0)
 
 
 @final
@@ -79,13 +102,15 @@
 
     :param results: results of ended runs, by request id.
     :param waiting: pending replies, sent when the run ends, by request id.
-    :param tasks: tasks of the runs in progress.
+    :param tasks: tasks of the runs in progress, by request id.
+    :param started: requests that were sent to the backend server.
     """
 
     records: RunRecords = field(default_factory=RunRecords)
     results: dict[str, RunResult] = field(default_factory=dict)
     waiting: dict[str, list[Reply[RunResult | None]]] = field(default_factory=dict)
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    started: set[str] = field(default_factory=set)
 
 
 @final
@@ -116,22 +141,41 @@
         message.reply.answer(result)
         return
     recorder.waiting[message.request_id] = [message.reply]
-    task = asyncio.create_task(_run(state.inbox, message))
-    recorder.tasks.add(task)
-    task.add_done_callback(recorder.tasks.discard)
+    recorder.tasks[message.request_id] = asyncio.create_task(_run(state, message))
 
 
-async def _run(inbox: Mailbox[RunRecorderMessage], message: RunOnce) -> None:
+async def _run(state: _TaskState, message: RunOnce) -> None:
     result: RunResult = Interrupted("the run was cut off")
     try:
         result = await message.run()
+    except asyncio.CancelledError:
+        if message.request_id not in state.recorder.started:
+            result = _WITHDRAWN
+        raise
     finally:
-        inbox.tell(RunOnceEnded(message.request_id, result))
+        state.inbox.tell(RunOnceEnded(message.request_id, result))
+
+
+def _run_started(state: _TaskState, message: RunStarted, now: float) -> None:
+    state.recorder.started.add(message.request_id)
+
+
+def _sender_left(state: _TaskState, message: SenderLeft, now: float) -> None:
+    """Withdraw a request that still waits; one that runs goes on.
+
+    If its sender asks for the outcome, it hears that the request has not run.
+    """
+    recorder = state.recorder
+    task = recorder.tasks.get(message.request_id)
+    if task is not None and message.request_id not in recorder.started:
+        task.cancel()
 
 
 def _run_once_ended(state: _TaskState, message: RunOnceEnded, now: float) -> None:
     recorder = state.recorder
     run_records.end(recorder.records, message.request_id, now)
+    recorder.tasks.pop(message.request_id, None)
+    recorder.started.discard(message.request_id)
     recorder.results[message.request_id] = message.result
     for request_id in recorder.results.keys() - recorder.records.ended.keys():
         del recorder.results[request_id]
@@ -168,6 +212,8 @@
 }
 _HANDLERS: Handlers[_TaskState] = {
     RunOnce: _run_once,
+    RunStarted: _run_started,
+    SenderLeft: _sender_left,
     RunOnceEnded: _run_once_ended,
     AskOutcome: _ask_outcome,
 }
--- a/testing/fleet/test_path.py
+++ b/testing/fleet/test_path.py
@@ -232,6 +232,50 @@
     run_scenario(tmp_path, scenario)
 
 
+# GONE: orders that waited in another node's queue ran after their clients had left.
+def test_waiting_booking_does_not_run_once_its_client_has_left(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ, BOOK)
+        desk = await fleet.add("desk", slots=1, run_s=0.3)
+        entry = await fleet.add("board")
+        await fleet.wait_until_synchronised()
+        first = asyncio.create_task(fleet.ask(entry, "/book/1", "POST"))
+        await wait_until(lambda: len(arrivals(desk)) == 1)
+        waiting = asyncio.create_task(fleet.ask(entry, "/book/2", "POST"))
+        await asyncio.sleep(0.1)
+        waiting.cancel()
+        assert (await first)[0] == 200
+        await asyncio.sleep(0.3)
+        assert len(arrivals(desk)) == 1
+        assert desk.parts.gate_state.queue.queued == 0
+        assert (await fleet.ask(entry, "/book/3", "POST"))[0] == 200
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_waiting_booking_is_sent_again_after_its_connection_broke(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ, BOOK)
+        desk = await fleet.add("desk", slots=1, run_s=0.2)
+        entry = await fleet.add("board")
+        await fleet.wait_until_synchronised()
+        first = asyncio.create_task(fleet.ask(desk, "/book/1", "POST"))
+        await wait_until(lambda: len(arrivals(desk)) == 1)
+        connections = record_connections_to_nodes(entry, monkeypatch)
+        waiting = asyncio.create_task(fleet.ask(entry, "/book/2", "POST"))
+        await wait_until(lambda: desk.parts.gate_state.queue.queued == 1, 0.2)
+        for connection in connections:
+            connection.abort()
+        status, _, _ = await waiting
+        await first
+        assert status in (200, 503)
+        assert arrivals(desk).count("r1") == (1 if status == 200 else 0)
+
+    run_scenario(tmp_path, scenario)
+
+
 # ROUTE: a request that waited for a silent server ran at its successor at the address.
 def test_waiting_request_does_not_run_at_another_service(tmp_path: Path) -> None:
     async def scenario(fleet: PlatformFleet) -> None:
