Listeners stop once their connections are closed, without a look at buffers

Change: after the last handler, both listeners close their connections and wait for the end of each within the stop, by the counter that also counts requests. A transport closes once the kernel has taken its data.

--- a/src/_masticspoke/draining.py
+++ b/src/_masticspoke/draining.py
@@ -6,9 +6,6 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from collections.abc import Iterable
-
-from aiohttp.base_protocol import BaseProtocol
 
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
@@ -18,8 +15,6 @@
 from _masticspoke.supervise.supervisor import Clock
 
 BACKLOG = 1024
-# Time between two looks at what the kernel has not taken yet.
-_UNSENT_POLL_S = 0.02
 
 
 def open_socket(address: Address) -> socket.socket:
@@ -38,19 +33,17 @@
     accept_queue: socket.socket,
     protocol_factory: Callable[[], asyncio.Protocol],
     in_flight: InFlight,
-    connections: Callable[[], Iterable[BaseProtocol]],
     stop: PlannedStop,
     clock: Clock,
     last_requests_wait_s: float,
 ) -> None:
     """Finish the requests of a listener that no longer accepts connections.
 
-    Open connections are served until no request is in flight and no answer is left in
-    this process, or the time of ``stop`` is over; what is left then is logged.
+    Open connections are served until no request is in flight or the time of ``stop``
+    is over; requests that are left then are logged.
 
     :param accept_queue: the listening socket; connections may wait in its queue.
     :param protocol_factory: returns the protocol of a new connection.
-    :param connections: returns the open connections of the listener.
     :param last_requests_wait_s: wait for the first requests on the last connections.
     """
     await _serve_queue(accept_queue, protocol_factory)
@@ -58,30 +51,24 @@
     # ``Server.pre_shutdown`` isn't used: it would leave idle connections open and drop
     # the requests that arrive on them.
     # A request may have begun between the end of the last one and this task's turn.
-    while (left_s := stop.left_s(clock())) > 0:
-        if in_flight.count:
-            await in_flight.wait_idle(left_s)
-        elif _unsent(connections()):
-            await asyncio.sleep(min(_UNSENT_POLL_S, left_s))
-        else:
-            return
-    cut = in_flight.count or len(_unsent(connections()))
-    if cut:
-        log_event(Event.REQUESTS_CUT, address=address, requests=cut)
-
-
-def _unsent(connections: Iterable[BaseProtocol]) -> list[BaseProtocol]:
-    """Return the connections with data that the kernel has not taken yet.
-
-    A handler ends when its answer is below the high-water mark of the transport's
-    buffer, and the end of the process would drop the rest.
+    while in_flight.count and (left_s := stop.left_s(clock())) > 0:
+        await in_flight.wait_idle(left_s)
+    if in_flight.count:
+        log_event(Event.REQUESTS_CUT, address=address, requests=in_flight.count)
+
+
+async def wait_sent(
+    address: Address, open_connections: InFlight, stop: PlannedStop, clock: Clock
+) -> None:
+    """Wait until the connections of a drained listener, which are closing, are closed.
+
+    A request ends when its answer is below the high-water mark of the transport's
+    buffer, and the end of the process would drop the rest. A connection closes once the
+    kernel has taken all of it; those that are left at the end of the stop are logged.
     """
-    return [
-        connection
-        for connection in connections
-        if connection.transport is not None
-        and connection.transport.get_write_buffer_size() > 0
-    ]
+    await open_connections.wait_idle(stop.left_s(clock()))
+    if open_connections.count:
+        log_event(Event.REQUESTS_CUT, address=address, requests=open_connections.count)
 
 
 async def _serve_queue(
--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
+from typing import final
 
 from aiohttp import web
 
@@ -11,6 +14,7 @@
 from _masticspoke.draining import BACKLOG
 from _masticspoke.draining import drain
 from _masticspoke.draining import open_socket
+from _masticspoke.draining import wait_sent
 from _masticspoke.entry.malformed import OnMalformed
 from _masticspoke.entry.malformed import request_factory
 from _masticspoke.in_flight import InFlight
@@ -40,7 +44,8 @@
     """Return a body that serves HTTP at ``address``.
 
     While ``stop`` is under way, each answer closes its connection, so that clients go
-    to another node. Requests that outlast the stop are aborted, counted and logged.
+    to another node. The task ends once all answers have been sent; requests and
+    connections that outlast the stop are aborted, counted and logged.
 
     :param on_malformed: called for each request that is not HTTP.
     :param before_open: awaited before the socket is opened.
@@ -52,7 +57,9 @@
         if before_open is not None:
             await before_open()
         in_flight = InFlight()
-        server = web.Server(
+        open_connections = InFlight()
+        server = _Server(
+            open_connections,
             _tracked(handler, in_flight, stop),
             access_log=None,
             handler_cancellation=True,
@@ -77,11 +84,12 @@
                 accept_queue,
                 server,
                 in_flight,
-                lambda: server.connections,
                 stop,
                 clock,
                 last_requests_wait_s,
             )
+            await runner.cleanup()
+            await wait_sent(address, open_connections, stop, clock)
         finally:
             accept_queue.close()
             await runner.cleanup()
@@ -89,6 +97,27 @@
     return run
 
 
+@final
+class _Server(web.Server):
+    """Server of aiohttp that counts its connections until they are closed."""
+
+    def __init__(
+        self, open_connections: InFlight, handler: Handler, **options: Any
+    ) -> None:
+        super().__init__(handler, **options)
+        self._open_connections = open_connections
+
+    def connection_made(self, handler: Any, transport: asyncio.Transport) -> None:
+        """Count a connection."""
+        self._open_connections.begin()
+        super().connection_made(handler, transport)
+
+    def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
+        """End the count of a connection, whose data the kernel has taken by then."""
+        self._open_connections.end()
+        super().connection_lost(handler, exc)
+
+
 def _tracked(handler: Handler, in_flight: InFlight, stop: PlannedStop) -> Handler:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         in_flight.begin()
--- a/src/_masticspoke/fleet/listening.py
+++ b/src/_masticspoke/fleet/listening.py
@@ -6,6 +6,7 @@
 
 from _masticspoke.draining import drain
 from _masticspoke.draining import open_socket
+from _masticspoke.draining import wait_sent
 from _masticspoke.http_server import HttpServer
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -24,8 +25,9 @@
 ) -> ChildBody:
     """Return the body of a task that serves HTTP at ``address``.
 
-    At a stop, requests on open connections are answered until none is in flight;
-    requests that outlast the stop are aborted, counted and logged.
+    At a stop, requests on open connections are answered until none is in flight, and
+    the task ends once all answers have been sent; requests and connections that outlast
+    the stop are aborted, counted and logged.
 
     :param last_requests_wait_s: wait at a stop for the first requests on connections
         accepted just before.
@@ -48,11 +50,12 @@
                 accept_queue,
                 server,
                 server.in_flight,
-                lambda: server.connections,
                 stop,
                 clock,
                 last_requests_wait_s,
             )
+            server.close()
+            await wait_sent(address, server.open_connections, stop, clock)
         finally:
             accept_queue.close()
             asyncio_server.close()
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -167,6 +167,7 @@
         self._is_draining = draining
         self._connections: set[ServerConnection] = set()
         self._in_flight = InFlight()
+        self._open_connections = InFlight()
 
     @property
     def in_flight(self) -> InFlight:
@@ -174,9 +175,9 @@
         return self._in_flight
 
     @property
-    def connections(self) -> tuple[ServerConnection, ...]:
-        """The open connections, and those that close once their data is sent."""
-        return tuple(self._connections)
+    def open_connections(self) -> InFlight:
+        """Counter of the connections that are not closed yet."""
+        return self._open_connections
 
     @property
     def draining(self) -> bool:
@@ -195,10 +196,12 @@
     def add(self, connection: ServerConnection) -> None:
         """Register a connection that was made."""
         self._connections.add(connection)
+        self._open_connections.begin()
 
     def remove(self, connection: ServerConnection) -> None:
         """Remove a connection that was lost."""
         self._connections.discard(connection)
+        self._open_connections.end()
 
     def close(self) -> None:
         """Close all connections and cancel their requests in flight."""
--- a/testing/entry/test_listener.py
+++ b/testing/entry/test_listener.py
@@ -114,7 +114,6 @@
                 open_socket(address),
                 asyncio.Protocol,
                 in_flight,
-                lambda: (),
                 stop,
                 time.monotonic,
                 0.0,
