A reload signal doesn't end a node that starts

Cause: the handler was installed after the imports. Change: the program ignores the signal first of all, and the task that reads the settings again compares the file with its state at the load.

--- a/src/_masticspoke/fleet/reloading.py
+++ b/src/_masticspoke/fleet/reloading.py
@@ -29,12 +29,14 @@
     :param load_settings: reads and checks the file; raises :class:`SettingsError` if
         the file cannot be read or is invalid.
     """
+    # A change before the task starts comes with a signal that is not handled yet.
+    loaded_ns = _modified_ns(path)
 
     async def run(life: Lifecycle) -> None:
         sighup = asyncio.Event()
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, sighup.set)
         life.mark_started()
-        last_modified_ns = _modified_ns(path)
+        last_modified_ns = loaded_ns
         while True:
             try:
                 async with asyncio.timeout(_CHECK_INTERVAL_S):
--- a/src/_masticspoke/platform/__main__.py
+++ b/src/_masticspoke/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -22,8 +23,14 @@
     gc.disable()
 
 
+def _ignore_early_reloads() -> None:
+    """Ignore SIGHUP until the node handles it; its default action ends the process."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def main() -> int:
     """Run the node whose settings file the environment names; return the exit code."""
+    _ignore_early_reloads()
     _prepare_imports()
     from _masticspoke.platform.node import run_platform_node
     from _masticspoke.platform.settings import load_fleet_settings
--- a/testing/platform/test_node.py
+++ b/testing/platform/test_node.py
@@ -79,6 +79,37 @@
     assert events.index(4204) < events.index(1002)
 
 
+_PRINT_SIGHUP_AT_IMPORT = """
+import signal
+import sys
+import _masticspoke.platform.__main__ as program
+
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "uvloop":
+            print(signal.getsignal(signal.SIGHUP).name)
+
+
+sys.meta_path.insert(0, Finder())
+program.main()
+"""
+
+
+# A SIGHUP within 0.4 s of the start, while libraries were imported, ended the process.
+def test_reload_signal_does_not_end_a_process_that_starts() -> None:
+    environment = {**os.environ, "MASTICSPOKE_SETTINGS": ""}
+    output = subprocess.run(
+        [sys.executable, "-c", _PRINT_SIGHUP_AT_IMPORT],
+        env=environment,
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+    assert output == "SIG_IGN\n"
+
+
 def test_wrong_settings_end_the_process_with_one_error_line(tmp_path: Path) -> None:
     path, _ = write_node_settings(tmp_path)
     path.write_text(path.read_text().replace("clients = ", "clients = none"))
