A cut at the end of a stop is logged once

Cause: reading the change again: when a stop has used its time, the requests that are cut were logged, and their connections a second time. Change: the wait for unsent answers is left out then. A docstring names a field. Result: ruff, mypy, check-shape and the tests of draining, entry and suspects pass.

--- a/src/_masticspoke/decisions/fleet/suspects.py
+++ b/src/_masticspoke/decisions/fleet/suspects.py
@@ -106,6 +106,7 @@
 class Suspects:
     """The reports of all guards, and what they show.
 
+    :param reports: what is known of each guard's report, by its server's address.
     :param crashes: crashes that count, by fingerprint.
     :param expires: Unix time at which a crash ceases to count, seconds.
     """
--- a/src/_masticspoke/draining.py
+++ b/src/_masticspoke/draining.py
@@ -66,7 +66,10 @@
     buffer, and the end of the process would drop the rest. A connection closes once the
     kernel has taken all of it; those that are left at the end of the stop are logged.
     """
-    await open_connections.wait_idle(stop.left_s(clock()))
+    left_s = stop.left_s(clock())
+    if left_s <= 0:
+        return  # the requests that are cut have been logged
+    await open_connections.wait_idle(left_s)
     if open_connections.count:
         log_event(Event.REQUESTS_CUT, address=address, requests=open_connections.count)
 
