Fleet: one folder for each branch of the supervisor tree

Cause: fleet/ held 31 modules side by side, and the parts to come add more to each branch. Change: dispatch/, guard/, knowledge/, reporting/ and entry/ hold the modules of their branch; imports, pages and the paths of three tests follow. No code is changed.

--- a/src/_masticspoke/fleet/departure.py
+++ b/src/_masticspoke/fleet/departure.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from _masticspoke.fleet.gate import GateMessage
+from _masticspoke.fleet.guard.gate import GateMessage
 from _masticspoke.fleet.messages import AskActiveCount
 from _masticspoke.fleet.messages import StopAdmitting
 from _masticspoke.supervise.ask import ask
--- /dev/null
+++ b/src/_masticspoke/fleet/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Branch of the listening sockets."""
+
+from __future__ import annotations
--- a/src/_masticspoke/fleet/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -25,8 +25,6 @@
 from _masticspoke.decisions.fleet.throttle import admits
 from _masticspoke.decisions.fleet.throttle import Throttle
 from _masticspoke.events import Event
-from _masticspoke.fleet.counts import TrailMessage
-from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.messages import Admit
 from _masticspoke.fleet.messages import AskActiveCount
 from _masticspoke.fleet.messages import BackendAnswered
@@ -37,6 +35,8 @@
 from _masticspoke.fleet.messages import RequestNotRun
 from _masticspoke.fleet.messages import RunEnded
 from _masticspoke.fleet.messages import StopAdmitting
+from _masticspoke.fleet.reporting.counts import TrailMessage
+from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
--- a/src/_masticspoke/fleet/run_recorder.py
+++ b/src/_masticspoke/fleet/guard/run_recorder.py
@@ -17,9 +17,9 @@
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.run_records import RunRecords
 from _masticspoke.decisions.fleet.run_records import RunStatus
-from _masticspoke.fleet.guarding import Declined
-from _masticspoke.fleet.guarding import Interrupted
-from _masticspoke.fleet.guarding import RunResult
+from _masticspoke.fleet.guard.guarding import Declined
+from _masticspoke.fleet.guard.guarding import Interrupted
+from _masticspoke.fleet.guard.guarding import RunResult
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
--- /dev/null
+++ b/src/_masticspoke/fleet/knowledge/__init__.py
@@ -0,0 +1,3 @@
+"""Branch of what a node knows: configuration, servers, crash reports."""
+
+from __future__ import annotations
--- a/src/_masticspoke/fleet/followers.py
+++ b/src/_masticspoke/fleet/knowledge/followers.py
@@ -22,10 +22,10 @@
 from _masticspoke.decisions.backoff import pause_after
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.suspects import CrashReport
+from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
 from _masticspoke.fleet.messages import Unsaved
-from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
 from _masticspoke.platform.log import keyed_record
--- a/src/_masticspoke/fleet/registry_crashes.py
+++ b/src/_masticspoke/fleet/knowledge/registry_crashes.py
@@ -5,13 +5,13 @@
 from _masticspoke.decisions.fleet import suspects
 from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.events import Event
-from _masticspoke.fleet.crash_messages import BackendCrashed
-from _masticspoke.fleet.crash_messages import CrashReportsReceived
-from _masticspoke.fleet.crash_messages import RunAbandoned
-from _masticspoke.fleet.crash_messages import SuspectSucceeded
-from _masticspoke.fleet.event_record import EventRecord
+from _masticspoke.fleet.knowledge.crash_messages import BackendCrashed
+from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
+from _masticspoke.fleet.knowledge.crash_messages import RunAbandoned
+from _masticspoke.fleet.knowledge.crash_messages import SuspectSucceeded
+from _masticspoke.fleet.knowledge.registry_state import RegistryTask
 from _masticspoke.fleet.messages import Unsaved
-from _masticspoke.fleet.registry_state import RegistryTask
+from _masticspoke.fleet.reporting.event_record import EventRecord
 
 # An abandoned run may go on, so a crash within this time makes it a suspect, seconds.
 _ABANDONED_SUSPECT_S = 1.0
--- a/src/_masticspoke/fleet/sync.py
+++ b/src/_masticspoke/fleet/knowledge/sync.py
@@ -25,13 +25,13 @@
 from _masticspoke.decisions.fleet.exchanges import choose_peers
 from _masticspoke.decisions.fleet.exchanges import must_push
 from _masticspoke.decisions.fleet.exchanges import pause_s
-from _masticspoke.fleet.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.dialect import Dialect
+from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
+from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import RegistrySnapshot
 from _masticspoke.fleet.messages import ServersReceived
-from _masticspoke.fleet.registry import RegistryMessage
 from _masticspoke.http_server import Handler
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
--- a/src/_masticspoke/fleet/node.py
+++ b/src/_masticspoke/fleet/node.py
@@ -20,12 +20,12 @@
 from _masticspoke.fleet.branches import guard_branch
 from _masticspoke.fleet.branches import knowledge_branch
 from _masticspoke.fleet.branches import reporting_branch
-from _masticspoke.fleet.counts import TrailMessage
 from _masticspoke.fleet.departure import departure
-from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.parts import FleetParts
-from _masticspoke.fleet.trail import encode_line
-from _masticspoke.fleet.trail import nonblocking_writer
+from _masticspoke.fleet.reporting.counts import TrailMessage
+from _masticspoke.fleet.reporting.event_record import EventRecord
+from _masticspoke.fleet.reporting.trail import encode_line
+from _masticspoke.fleet.reporting.trail import nonblocking_writer
 from _masticspoke.http_server import Handler
 from _masticspoke.supervise.clocks import boot_clock
 from _masticspoke.supervise.lifecycle import ChildBody
--- a/src/_masticspoke/fleet/reloading.py
+++ b/src/_masticspoke/fleet/reloading.py
@@ -9,8 +9,8 @@
 
 from _masticspoke.errors import SettingsError
 from _masticspoke.events import Event
-from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.parts import FleetParts
+from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.fleet.settings import FleetSettings
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
--- /dev/null
+++ b/src/_masticspoke/fleet/reporting/__init__.py
@@ -0,0 +1,3 @@
+"""Branch of reporting: structured log lines and counters."""
+
+from __future__ import annotations
--- a/src/_masticspoke/fleet/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -11,8 +11,8 @@
 
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.events import Event
-from _masticspoke.fleet.event_record import EventRecord
 from _masticspoke.fleet.messages import GuardState
+from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.metrics.families import Metric
 from _masticspoke.metrics.families import Sample
 from _masticspoke.metrics.families import Summary
--- a/src/_masticspoke/platform/control_plane.py
+++ b/src/_masticspoke/platform/control_plane.py
@@ -21,11 +21,11 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.events import Event
-from _masticspoke.fleet.counts import TrailMessage
-from _masticspoke.fleet.event_record import EventRecord
+from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.messages import Deregistered
 from _masticspoke.fleet.messages import Heartbeat
-from _masticspoke.fleet.registry import RegistryMessage
+from _masticspoke.fleet.reporting.counts import TrailMessage
+from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.http_server import Handler
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
--- a/testing/decisions/fleet/test_exchanges.py
+++ b/testing/decisions/fleet/test_exchanges.py
@@ -12,8 +12,8 @@
 from _masticspoke.decisions.fleet.exchanges import pause_s
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
-from _masticspoke.fleet.followers import FIRST_RETRY_PAUSE_S
-from _masticspoke.fleet.followers import MAX_RETRY_PAUSE_S
+from _masticspoke.fleet.knowledge.followers import FIRST_RETRY_PAUSE_S
+from _masticspoke.fleet.knowledge.followers import MAX_RETRY_PAUSE_S
 
 # The platform's bounds, seconds: until a version is in force, and until a node that
 # returned knows what the others know.
--- a/testing/fleet/test_trail.py
+++ b/testing/fleet/reporting/test_trail.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from _masticspoke.events import Event
-from _masticspoke.fleet.counts import AskCounts
-from _masticspoke.fleet.counts import Counts
-from _masticspoke.fleet.counts import TrailMessage
-from _masticspoke.fleet.event_record import EventRecord
-from _masticspoke.fleet.trail import trail
+from _masticspoke.fleet.reporting.counts import AskCounts
+from _masticspoke.fleet.reporting.counts import Counts
+from _masticspoke.fleet.reporting.counts import TrailMessage
+from _masticspoke.fleet.reporting.event_record import EventRecord
+from _masticspoke.fleet.reporting.trail import trail
 from _masticspoke.metrics.families import Metric
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import Lifecycle
--- a/testing/shape/rules.py
+++ b/testing/shape/rules.py
@@ -64,9 +64,13 @@
     "control/log_reader.py": "the log service sends no message when it is up again",
     "dispatch/keyed.py": "no message reports that another home replaced a silent one",
     "fleet/departure.py": "no message reports that all running requests have ended",
-    "fleet/followers.py": "the log service sends no message when it is up again",
-    "fleet/probe.py": "the state that it waits for is published without a message",
-    "fleet/sync.py": "a peer without updates sends no message",
+    "fleet/knowledge/followers.py": (
+        "the log service sends no message when it is up again"
+    ),
+    "fleet/guard/probe.py": (
+        "the state that it waits for is published without a message"
+    ),
+    "fleet/knowledge/sync.py": "a peer without updates sends no message",
     "control/log_writer.py": "the log service sends no message when it is up again",
 }
 
--- a/testing/test_draining.py
+++ b/testing/test_draining.py
@@ -14,7 +14,7 @@
 from _masticspoke.entry.listener import listener
 from _masticspoke.events import counted_events
 from _masticspoke.events import Event
-from _masticspoke.fleet.listening import http_listener
+from _masticspoke.fleet.entry.listening import http_listener
 from _masticspoke.http_server import HttpServer
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
