Organisations, their keys and quota bounds as types; bounds of the settings as JSON

Cause: the configuration can hold organisations, and no type held them. Change: Organisation, QuotaBounds, Configuration.organisations, Route.public, Job.organisation with a header of its own between nodes, slowdown in notices and load; the table is decoded and checked; bounds are read in both forms. Nothing uses the new fields yet.

--- a/src/_masticspoke/border/hop.py
+++ b/src/_masticspoke/border/hop.py
@@ -6,8 +6,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import final
+from urllib.parse import quote
+from urllib.parse import unquote
 
 from _masticspoke.border.json_values import MALFORMED
+from _masticspoke.border.json_values import plain_text
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.decisions.fleet.model import NotRun
@@ -16,6 +19,11 @@
 GUARD_HEADER = "Masticspoke-Guard"
 # State of the guard's backend server, with each answer while it is leaving.
 LEAVING_HEADER = "Masticspoke-Leaving"
+# Name of the organisation that a request runs for, percent-encoded.
+ORGANISATION_HEADER = "Masticspoke-Organisation"
+# A JSON object with what a guard reports beyond GUARD_HEADER, whose list nodes of an
+# earlier build read with a fixed length. Unknown fields are ignored.
+LOAD_HEADER = "Masticspoke-Load"
 RUN_QUERY_PATH = "/.masticspoke/fate"
 # Reasons that a node of an earlier build can't read are sent as one that it can.
 _SENT_REASONS: Mapping[NotRun | None, NotRun] = {NotRun.QUARANTINED: NotRun.BUSY}
@@ -90,6 +98,19 @@
     )
 
 
+def encode_organisation(name: str) -> str:
+    """Return the value of :data:`ORGANISATION_HEADER`."""
+    return quote(name)
+
+
+def decode_organisation(value: str | None) -> str:
+    """Return the organisation in a header; empty if it is missing or malformed."""
+    try:
+        return plain_text(unquote(value or "", errors="strict"))
+    except MALFORMED:
+        return ""
+
+
 def encode_guard(answer: GuardAnswer) -> str:
     """Return the value of :data:`GUARD_HEADER`."""
     load = answer.load
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -40,6 +40,7 @@
     :param objective_s: target latency of the answer.
     :param rank: priority; 0 is the most urgent.
     :param max_attempts: largest number of sends that reach a backend server.
+    :param public: whether its requests need no key.
     """
 
     name: str
@@ -51,6 +52,39 @@
     rank: int
     max_attempts: int
     shares: tuple[Share, ...]
+    public: bool = False
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """One of the customers that share the fleet.
+
+    :param rank: priority of its requests, which replaces the route's; ``None`` if it
+        has none.
+    :param rate_per_s: requests a second that all nodes together may run; 0 for no
+        limit.
+    :param burst: requests beyond the rate that may run at once.
+    """
+
+    name: str
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """Bound on the requests of one organisation that run at all nodes together.
+
+    In any window they number at most (rate x window + burst) x (1 + overshoot) +
+    tolerance.
+    """
+
+    window_s: float = 5.0
+    overshoot: float = 0.1
+    tolerance: float = 20.0
 
 
 @final
@@ -77,12 +111,14 @@
     :param version: never decreases within one process.
     :param routes: routes by host and prefix.
     :param health_paths: path of the health check by service.
+    :param organisations: organisation by key; ``None`` if requests need no keys.
     """
 
     version: int
     routes: Mapping[tuple[str, str], Route]
     health_paths: Mapping[str, str] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
+    organisations: Mapping[str, Organisation] | None = None
 
 
 def limits_of(configuration: Configuration | None) -> Limits:
@@ -136,6 +172,8 @@
         run that made the request is a retry.
     :param objective_at: time at which the route's target latency is over.
     :param deadline: time after which the answer is useless.
+    :param organisation: name of the organisation that it runs for; that of the parent
+        run if it is nested; empty if there is none.
     """
 
     request_id: str
@@ -148,6 +186,7 @@
     is_retry: bool
     objective_at: float
     deadline: float
+    organisation: str = ""
 
 
 @final
@@ -175,11 +214,14 @@
         as its answers name it; ``None`` if this one names none.
     :param unreadable: a limit that is not a decimal number; empty if there is none.
     :param leaving: whether it is leaving.
+    :param slowdown: how many times longer than usual work takes on its VM now; ``None``
+        if it does not say.
     """
 
     rate_limit: float | None = None
     unreadable: str = ""
     leaving: bool = False
+    slowdown: float | None = None
 
 
 @final
@@ -193,6 +235,8 @@
     :param run_s: smoothed duration of a run.
     :param pressure_s: expected wait of nested requests at this backend server, plus
         the highest mean pressure of a service that it called recently.
+    :param slowdown: how many times longer than usual work takes at its backend server
+        now.
     """
 
     running: int = 0
@@ -200,3 +244,4 @@
     limit: int = 1
     run_s: float = 0.0
     pressure_s: float = 0.0
+    slowdown: float = 1.0
--- a/src/_masticspoke/fleet/dispatch/sending.py
+++ b/src/_masticspoke/fleet/dispatch/sending.py
@@ -14,11 +14,13 @@
 from _masticspoke.border.forwarding import forwarded_headers
 from _masticspoke.border.hop import decode_guard
 from _masticspoke.border.hop import encode_job
+from _masticspoke.border.hop import encode_organisation
 from _masticspoke.border.hop import encode_run_query
 from _masticspoke.border.hop import GUARD_HEADER
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
 from _masticspoke.border.hop import LEAVING_HEADER
+from _masticspoke.border.hop import ORGANISATION_HEADER
 from _masticspoke.border.hop import RUN_QUERY_PATH
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
@@ -209,6 +211,8 @@
 async def _request_node(attempt: _SendAttempt) -> None:
     headers = attempt.outgoing.headers.copy()
     headers[JOB_HEADER] = encode_job(attempt.job, attempt.port.guard.clock())
+    if attempt.job.organisation:
+        headers[ORGANISATION_HEADER] = encode_organisation(attempt.job.organisation)
     async with attempt.port.node_connections.request(
         _node_address(attempt),
         attempt.outgoing.method,
--- a/src/_masticspoke/fleet/entry/inbound.py
+++ b/src/_masticspoke/fleet/entry/inbound.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import final
 
 from multidict import CIMultiDict
@@ -18,12 +19,14 @@
 from _masticspoke.border.backend_state import encode_state
 from _masticspoke.border.forwarding import forwarded_headers
 from _masticspoke.border.hop import decode_job
+from _masticspoke.border.hop import decode_organisation
 from _masticspoke.border.hop import decode_run_query
 from _masticspoke.border.hop import encode_guard
 from _masticspoke.border.hop import GUARD_HEADER
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
 from _masticspoke.border.hop import LEAVING_HEADER
+from _masticspoke.border.hop import ORGANISATION_HEADER
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.model import Phase
@@ -89,6 +92,9 @@
     job = decode_job(request.headers.get(JOB_HEADER), guard.clock())
     if job is None:
         return Response(400, body=f"{JOB_HEADER} is malformed\n".encode())
+    organisation = decode_organisation(request.headers.get(ORGANISATION_HEADER))
+    if organisation:
+        job = replace(job, organisation=organisation)
     outgoing = ForwardedRequest(
         request.method,
         request.target,
--- a/src/_masticspoke/fleet/settings.py
+++ b/src/_masticspoke/fleet/settings.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import final
 
 from _masticspoke.decisions.fleet.budget import BudgetBounds
+from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.model import Address
 
 
@@ -28,6 +30,9 @@
     :param log: address of the log service.
     :param budget: retry budget of the whole fleet.
     :param stop_timeout_s: longest time of a planned stop.
+    :param revocation_s: time after which a key that was taken away is refused at every
+        node, in touch with the log or not; ``None`` if there is no such bound.
+    :param quota: bound on the requests of one organisation at all nodes together.
     """
 
     name: str
@@ -43,3 +48,5 @@
     log: Address
     budget: BudgetBounds
     stop_timeout_s: float
+    revocation_s: float | None = None
+    quota: QuotaBounds = field(default_factory=QuotaBounds)
--- a/src/_masticspoke/platform/configuration.py
+++ b/src/_masticspoke/platform/configuration.py
@@ -12,6 +12,7 @@
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Limits
+from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.model import Route
 from _masticspoke.decisions.fleet.model import Share
 from _masticspoke.platform.names import IDEMPOTENT_KINDS
@@ -38,6 +39,7 @@
                 for row in _rows(document.get("services") or {})
             },
             limits=_limits(document.get("limits") or {}),
+            organisations=_organisations(document.get("tenants")),
         )
     except MALFORMED:
         return None
@@ -69,6 +71,46 @@
         rank=int(row.get("priority", _DEFAULT_PRIORITY)),
         max_attempts=int(row.get("max_attempts", 1)),
         shares=_shares(row),
+        public=_flag(row.get("public", False)),
+    )
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError("not a boolean")
+    return value
+
+
+def _organisations(table: Any) -> Mapping[str, Organisation] | None:
+    """Return the organisations by key; ``None`` without a table.
+
+    :raises ValueError: if two organisations share a key or a name.
+    """
+    if table is None:
+        return None
+    by_key: dict[str, Organisation] = {}
+    names: set[str] = set()
+    for row in _rows(table):
+        organisation = _organisation(row)
+        if organisation.name in names:
+            raise ValueError("two organisations with one name")
+        names.add(organisation.name)
+        for key in map(plain_text, row.get("api_keys", [])):
+            if by_key.setdefault(key, organisation) is not organisation:
+                raise ValueError("two organisations with one key")
+    return by_key
+
+
+def _organisation(row: Mapping[str, Any]) -> Organisation:
+    rate_per_s = finite_number(row.get("rate_per_s", 0))
+    burst = finite_number(row.get("burst", 0))
+    if rate_per_s < 0 or burst < 0:
+        raise ValueError("a negative quota")
+    return Organisation(
+        name=plain_text(row["name"]),
+        rank=whole_number(row["priority"]) if "priority" in row else None,
+        rate_per_s=rate_per_s,
+        burst=burst,
     )
 
 
--- a/src/_masticspoke/platform/settings.py
+++ b/src/_masticspoke/platform/settings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Mapping
 from configparser import ConfigParser
 from configparser import Error
@@ -13,6 +14,7 @@
 
 from _masticspoke.border.addresses import parse_address
 from _masticspoke.decisions.fleet.budget import BudgetBounds
+from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.errors import SettingsError
 from _masticspoke.fleet.settings import FleetSettings
 from _masticspoke.model import Address
@@ -22,6 +24,7 @@
 # Time at the end of the grace period that is reserved for closing connections.
 _CLOSING_RESERVE_S = 0.8
 _DEFAULT_GRACE_S = 6.0
+_TRUTH = {"true": 1, "false": 0}
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
@@ -49,6 +52,8 @@
             budget=_budget(bounds),
             stop_timeout_s=bounds.get("grace_period_s", _DEFAULT_GRACE_S)
             - _CLOSING_RESERVE_S,
+            revocation_s=_revocation_s(bounds),
+            quota=_quota(bounds),
         )
     except (OSError, Error, KeyError, ValueError) as error:
         raise SettingsError(f"settings {path}: {error!r}", _REMEDY) from None
@@ -67,16 +72,40 @@
 
 
 def _bounds(text: str) -> Mapping[str, float]:
+    """Return the numeric bounds; ``true`` counts as 1 and ``false`` as 0.
+
+    The platform writes them as a JSON object or as ``name=value`` texts. Bounds that
+    are not numbers belong to other contracts.
+    """
+    if text.lstrip().startswith("{"):
+        values = json.loads(text)
+    else:
+        pairs = (bound.partition("=") for bound in text.split(","))
+        values = {name.strip(): value.strip() for name, _, value in pairs}
     bounds = {}
-    for bound in text.split(","):
-        name, _, value = bound.partition("=")
+    for name, value in values.items():
         try:
-            bounds[name.strip()] = float(value)
-        except ValueError:
-            continue  # bounds that are not numbers belong to other contracts
+            bounds[name] = float(_TRUTH.get(str(value).lower(), value))
+        except (TypeError, ValueError):
+            continue
     return bounds
 
 
+def _revocation_s(bounds: Mapping[str, float]) -> float | None:
+    if not bounds.get("revoke_partitioned") or "revocation_ms" not in bounds:
+        return None
+    return bounds["revocation_ms"] / 1000
+
+
+def _quota(bounds: Mapping[str, float]) -> QuotaBounds:
+    default = QuotaBounds()
+    return QuotaBounds(
+        window_s=bounds.get("quota_window_s", default.window_s),
+        overshoot=bounds.get("quota_overshoot", default.overshoot),
+        tolerance=bounds.get("quota_tolerance", default.tolerance),
+    )
+
+
 def _budget(bounds: Mapping[str, float]) -> BudgetBounds:
     default = BudgetBounds()
     return BudgetBounds(
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from testing.standins.platform_operator import COLUMNS
 
+from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.model import Share
 from _masticspoke.platform.configuration import decode_configuration
 
@@ -77,3 +78,48 @@
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_without_an_error(raw: bytes) -> None:
     decode_configuration(raw)
+
+
+def _with_tenants(rows: list[list[object]]) -> bytes:
+    columns = ["name", "api_keys", "priority", "rate_per_s", "burst"]
+    table = {"columns": columns, "rows": rows}
+    return json.dumps({**VALID, "tenants": table}).encode()
+
+
+def test_organisations_are_decoded_by_key() -> None:
+    decoded = decode_configuration(
+        _with_tenants([["o1", ["k1", "k2"], 1, 351, 35.5], ["o2", ["k3"], None, 0, 0]])
+    )
+    assert decoded is not None
+    limited = Organisation("o1", rank=1, rate_per_s=351.0, burst=35.5)
+    assert decoded.organisations == {
+        "k1": limited,
+        "k2": limited,
+        "k3": Organisation("o2"),
+    }
+
+
+def test_missing_table_of_organisations_differs_from_an_empty_one() -> None:
+    without = decode_configuration(json.dumps(VALID).encode())
+    empty = decode_configuration(_with_tenants([]))
+    assert without is not None
+    assert without.organisations is None
+    assert empty is not None
+    assert empty.organisations == {}
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        [["o1", ["k1"], 1, 1, 1], ["o2", ["k1"], 1, 1, 1]],
+        [["o1", ["k1"], 1, 1, 1], ["o1", ["k2"], 1, 1, 1]],
+        [[None, ["k1"], 1, 1, 1]],
+        [["o1", ["k1"], 1, -1, 1]],
+        [["o1", [7], 1, 1, 1]],
+        [["o1", ["k1"], "first", 1, 1]],
+    ],
+)
+def test_malformed_organisations_make_no_configuration(
+    rows: list[list[object]],
+) -> None:
+    assert decode_configuration(_with_tenants(rows)) is None
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.errors import SettingsError
 from _masticspoke.model import Address
 from _masticspoke.platform.settings import load_fleet_settings
@@ -45,6 +46,27 @@
     assert settings.stop_timeout_s == pytest.approx(5.2)
 
 
+def test_bounds_may_be_a_json_object(tmp_path: Path) -> None:
+    """The platform writes the table of bounds as JSON; all of them were ignored."""
+    bounds = (
+        '{"retry_budget_extra":112,"grace_period_s":8,"revoke_partitioned":true,'
+        '"revocation_ms":5000,"quota_window_s":4,"quota_tolerance":20,"ack_binds":null}'
+    )
+    settings = load_fleet_settings(write_settings(tmp_path, contract_bounds=bounds))
+
+    assert settings.budget.extra == 112
+    assert settings.stop_timeout_s == pytest.approx(7.2)
+    assert settings.revocation_s == 5.0
+    assert settings.quota == QuotaBounds(window_s=4, overshoot=0.1, tolerance=20)
+
+
+def test_keys_need_not_end_in_time_without_the_bound(tmp_path: Path) -> None:
+    bounds = "revoke_partitioned=false,revocation_ms=5000"
+    settings = load_fleet_settings(write_settings(tmp_path, contract_bounds=bounds))
+
+    assert settings.revocation_s is None
+
+
 def test_seeds_may_be_empty(tmp_path: Path) -> None:
     assert load_fleet_settings(write_settings(tmp_path, seed_nodes="")).seeds == ()
 
