HTTP server: idempotent requests of one connection run at the same time

Data behind a request that closes the connection also dropped the requests in front of it, as the parser discards what it found before an error.

Change: up to eight requests of a connection run at once if their route is idempotent; a request that isn't waits for those in front and holds those behind. Answers are written in the order of the requests, streamed ones from their turn on. Nothing starts behind an answer that closes the connection; what had started is answered first. A pipelining client's connection lingers for 1 s at most, so that requests that nobody reads don't reset it and lose the last answer.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -65,6 +65,7 @@
 from _masticspoke.fleet.reporting.trail import nonblocking_writer
 from _masticspoke.fleet.reporting.trail import trail
 from _masticspoke.http_pool import pool_owner
+from _masticspoke.http_server import Concurrent
 from _masticspoke.http_server import Handler
 from _masticspoke.http_server import HttpServer
 from _masticspoke.http_server import Request
@@ -320,12 +321,19 @@
 
 
 def entry_branch(
-    parts: FleetParts, ingress: Handler, control_plane: Handler, readiness: Handler
+    parts: FleetParts,
+    ingress: Handler,
+    control_plane: Handler,
+    readiness: Handler,
+    concurrent: Concurrent,
 ) -> ChildBody:
     """Return the supervisor of the listening sockets.
 
     Children stop in reverse order: the socket for clients closes before the one where
     other nodes reach the guard.
+
+    :param concurrent: returns whether a request of a client may run beside others of
+        its connection.
     """
     settings = parts.settings
     port = InboundPort(guard_port(parts), parts.run_recorder)
@@ -348,8 +356,9 @@
         last_requests_wait_s: float,
         limits: Callable[[], Limits] = lambda: _INTERNAL_LIMITS,
         sweep_interval_s: float = _INTERNAL_SWEEP_INTERVAL_S,
+        concurrent: Concurrent | None = None,
     ) -> ChildSpec:
-        server = HttpServer(handler, limits, lambda: parts.stop.under_way)
+        server = HttpServer(handler, limits, lambda: parts.stop.under_way, concurrent)
         body = http_listener(
             address,
             server,
@@ -372,6 +381,7 @@
             _LAST_REQUESTS_WAIT_S,
             limits,
             _CLIENTS_SWEEP_INTERVAL_S,
+            concurrent,
         ),
     )
     return supervisor("entry", children, boot_clock)
--- a/src/_masticspoke/fleet/node.py
+++ b/src/_masticspoke/fleet/node.py
@@ -26,6 +26,7 @@
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.fleet.reporting.trail import encode_line
 from _masticspoke.fleet.reporting.trail import nonblocking_writer
+from _masticspoke.http_server import Concurrent
 from _masticspoke.http_server import Handler
 from _masticspoke.supervise.clocks import boot_clock
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -53,11 +54,14 @@
     :param control_plane: handles the local backend server's heartbeats and
         deregistrations.
     :param readiness: handles the platform's readiness checks.
+    :param concurrent: returns whether a request of a client may run beside others of
+        its connection.
     """
 
     clients: Handler
     control_plane: Handler
     readiness: Handler
+    concurrent: Concurrent
 
 
 def fleet_tree(parts: FleetParts, front_end: FrontEnd, watch: ChildBody) -> ChildBody:
@@ -66,7 +70,11 @@
     :param watch: body of the task that reads the settings again when they change.
     """
     listeners = entry_branch(
-        parts, front_end.clients, front_end.control_plane, front_end.readiness
+        parts,
+        front_end.clients,
+        front_end.control_plane,
+        front_end.readiness,
+        front_end.concurrent,
     )
     departure_body = departure(parts.gate, parts.stop, boot_clock)
     stop_s = parts.settings.stop_timeout_s
--- a/src/_masticspoke/http_messages.py
+++ b/src/_masticspoke/http_messages.py
@@ -15,9 +15,11 @@
 from aiohttp import EMPTY_PAYLOAD
 from aiohttp import StreamReader
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDictProxy
 
 if TYPE_CHECKING:
+    from _masticspoke.http_pipeline import Exchange
     from _masticspoke.http_server_connection import ServerConnection
 
 
@@ -64,6 +66,7 @@
     headers: CIMultiDictProxy[str]
     content: StreamReader
     connection: ServerConnection
+    exchange: Exchange
 
     @property
     def path(self) -> str:
@@ -106,7 +109,11 @@
         body: AsyncIterable[bytes],
     ) -> Streamed:
         """Write an answer while it arrives; see :meth:`ServerConnection.stream`."""
-        return await self.connection.stream(status, headers, length, body)
+        return await self.connection.stream(
+            self.exchange, status, headers, length, body
+        )
 
 
 Handler = Callable[[Request], Awaitable[Response | Streamed]]
+# Returns whether a request may run at the same time as others of its connection.
+Concurrent = Callable[[RawRequestMessage], bool]
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -1,8 +1,9 @@
 """A small HTTP/1.1 server for the request path, built on aiohttp's parser.
 
 The server of aiohttp takes more processor time per request than the decisions of a
-node. This one has only what a hop needs: persistent connections, one request at a time
-on each, whole or streamed answers, and limits on the size and duration of requests.
+node. This one has only what a hop needs: persistent connections, whole or streamed
+answers, and limits on the size and duration of requests. Requests that a client sent
+behind another one run beside it where the listener allows it, else one at a time.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 from typing import final
 
 from _masticspoke.decisions.fleet.model import Limits
+from _masticspoke.decisions.fleet.pipelining import AheadCounts
+from _masticspoke.http_messages import Concurrent
 from _masticspoke.http_messages import Handler
 from _masticspoke.http_messages import Request
 from _masticspoke.http_messages import Response
@@ -18,7 +21,7 @@
 from _masticspoke.http_server_connection import ServerConnection
 from _masticspoke.in_flight import InFlight
 
-__all__ = ["Handler", "HttpServer", "Request", "Response", "Streamed"]
+__all__ = ["Concurrent", "Handler", "HttpServer", "Request", "Response", "Streamed"]
 
 
 @final
@@ -28,6 +31,8 @@
     :param handler: answers a request; cancelled when the client disconnects.
     :param limits: returns the limits in force; called whenever they are needed.
     :param draining: returns whether each answer closes its connection.
+    :param concurrent: returns whether a request may run at the same time as others of
+        its connection; ``None`` to serve one request at a time.
     """
 
     def __init__(
@@ -35,10 +40,13 @@
         handler: Handler,
         limits: Callable[[], Limits],
         draining: Callable[[], bool],
+        concurrent: Concurrent | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._is_draining = draining
+        self._concurrent = concurrent
+        self._ahead = AheadCounts()
         self._connections: set[ServerConnection] = set()
         self._in_flight = InFlight()
         self._open_connections = InFlight()
@@ -63,6 +71,16 @@
         """The limits in force."""
         return self._limits()
 
+    @property
+    def concurrent(self) -> Concurrent | None:
+        """Returns whether a request may run at the same time as others."""
+        return self._concurrent
+
+    @property
+    def ahead(self) -> AheadCounts:
+        """Requests that were started before their turn."""
+        return self._ahead
+
     def __call__(self) -> ServerConnection:
         """Return the protocol of a new connection."""
         return ServerConnection(self, self._handler)
--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from collections import deque
 from collections.abc import AsyncIterable
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -16,7 +15,6 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpRequestParser
-from aiohttp.http_parser import RawRequestMessage
 from loguru import logger
 from multidict import CIMultiDict
 
@@ -32,16 +30,19 @@
 from _masticspoke.http_messages import Request
 from _masticspoke.http_messages import Response
 from _masticspoke.http_messages import Streamed
+from _masticspoke.http_pipeline import Exchange
+from _masticspoke.http_pipeline import Pipeline
 
 if TYPE_CHECKING:
     from _masticspoke.http_server import HttpServer
 
-# Reading from a connection pauses once more requests than this are queued on it, until
-# the last of them is taken from the queue.
+# Reading from a connection pauses once more requests than this wait for their turn, and
+# goes on when half of them are left: enough to keep all that may run at once busy.
 _MAX_PIPELINED_REQUESTS = 8
 # If a request is answered before its body is read, the rest of the body is read for at
 # most this long: closing the connection at once would reset it, and the client could
-# lose the answer.
+# lose the answer. The same holds for requests that a client sends behind the last one
+# that is answered.
 _LINGERING_CLOSE_S = 1.0
 # The headers are measured only when more bytes than this were received. Operators are
 # assumed to set no lower header limit.
@@ -49,8 +50,8 @@
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 # Answers with these statuses never have a body.
 _BODILESS_STATUSES = frozenset({204, 304})
-_HTTP_1_1 = (1, 1)
 _CHUNKED = ("Transfer-Encoding", "chunked")
+_HEAD_END = b"\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -58,18 +59,20 @@
 class ServerConnection(BaseProtocol):
     """One client's connection and the task that answers its requests.
 
-    Each request gets one answer: once a part of it has been written, whatever else the
-    handler returns is dropped, and the connection serves no further request.
+    The task writes the answers in the order of the requests. Each request gets one
+    answer: once a part of it has been written, whatever else the handler returns is
+    dropped, and the connection starts no further request.
     """
 
     __slots__ = (
         "__weakref__",
-        "_answer_begun",
         "_handler",
         "_head_started_at",
         "_idle_since",
+        "_is_lingering",
+        "_is_pipelined",
         "_last_content",
-        "_queue",
+        "_pipeline",
         "_received_bytes",
         "_request_parser",
         "_server",
@@ -92,15 +95,17 @@
         )
         self._server = server
         self._handler = handler
-        # ``None`` is the last item and stands for a malformed request.
-        self._queue: deque[tuple[RawRequestMessage, StreamReader] | None] = deque()
+        self._pipeline = Pipeline(
+            self._respond, server.concurrent, server.ahead, server.in_flight
+        )
         self._last_content: StreamReader = EMPTY_PAYLOAD
         self._waiter: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
-        # Whether any part of the answer to the current request has been written.
-        self._answer_begun = False
         # Set by a malformed request or a protocol upgrade; later data is ignored.
         self._stopped_parsing = False
+        # Whether the client has sent a request before it had the answer to another one.
+        self._is_pipelined = False
+        self._is_lingering = False
         # Counted since the connection was last idle.
         self._received_bytes = 0
         self._idle_since: float | None = loop.time()
@@ -120,13 +125,17 @@
         self._task = asyncio.Task(self._serve_requests(), loop=self._loop)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the current request: no client waits for its answer."""
+        """Cancel all requests: no client waits for their answers."""
         super().connection_lost(exc)
         self._server.remove(self)
         if not self._last_content.is_eof():
             self._last_content.set_exception(
                 ConnectionResetError("the client closed the connection")
             )
+        self._cancel()
+
+    def _cancel(self) -> None:
+        self._pipeline.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -136,29 +145,51 @@
             return
         self._received_bytes += len(data)
         try:
-            messages, self._stopped_parsing, _ = self._request_parser.feed_data(data)
+            self._parse(data)
         except HttpProcessingError as error:
             self._reject_malformed(error)
-        else:
-            for message in messages:
-                self._queue.append(message)
-                self._last_content = message[1]
         self._track_head_start(data)
-        if self._queue:
+        waiting = len(self._pipeline)
+        if waiting:
             self._wake()
-            if len(self._queue) > _MAX_PIPELINED_REQUESTS and not self._buffer_paused:
+            self._is_pipelined |= waiting > 1 or self._idle_since is None
+            if not self._server.draining:
+                self._pipeline.start_ahead()
+            if waiting > _MAX_PIPELINED_REQUESTS and not self._buffer_paused:
                 self._pause_reading_for_buffer()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse data and queue its requests.
+
+        The parser gets one head at a time: when it raises an error, such as for data
+        behind a request that closes the connection, it drops what it found in the same
+        call.
+        """
+        start, length = 0, len(data)
+        while not self._stopped_parsing:
+            end = length
+            if self._last_content.is_eof():
+                end = data.find(_HEAD_END, start) + len(_HEAD_END)
+                end = length if end < len(_HEAD_END) else end
+            part = data if end - start == length else data[start:end]
+            messages, self._stopped_parsing, _ = self._request_parser.feed_data(part)
+            for head, content in messages:
+                self._pipeline.append(Exchange(head, content))
+                self._last_content = content
+            if end == length:
+                return
+            start = end
+
     def _reject_malformed(self, error: HttpProcessingError) -> None:
         logger.debug("malformed HTTP request: {!r}", error)
         self._stopped_parsing = True
         if not self._last_content.is_eof():
             self._last_content.set_exception(error)
-        self._queue.append(None)
+        self._pipeline.append(None)
 
     def _track_head_start(self, data: bytes) -> None:
         """Record when a head began to arrive on an idle connection."""
-        if self._queue or not self._last_content.is_eof():
+        if self._pipeline or not self._last_content.is_eof():
             self._head_started_at = None
         elif data and self._idle_since is not None and self._head_started_at is None:
             self._head_started_at = self._loop.time()
@@ -170,7 +201,7 @@
 
     def close_if_overdue(self, limits: Limits, now: float) -> None:
         """Close the connection if it exceeds the idle or the header timeout."""
-        if self._queue or self._idle_since is None:
+        if self._pipeline or self._idle_since is None:
             return
         if self._head_started_at is None:
             if now - self._idle_since > limits.idle_timeout_s:
@@ -180,72 +211,99 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection after its written data is sent; cancel its task."""
+        """Close the connection after its written data is sent; cancel its requests."""
+        if self._is_lingering:
+            return  # all its answers are written, and it closes in a moment
         if self.transport is not None:
             self.transport.close()
-        if self._task is not None:
-            self._task.cancel()
+        self._cancel()
 
     async def _serve_requests(self) -> None:
         try:
             while not await self._serve_request(await self._next_request()):
                 continue
+            if self._is_pipelined:
+                await self._linger()
         except ConnectionError:
             return  # the client closed the connection
         finally:
+            self._pipeline.cancel()
             if self.transport is not None:
                 self.transport.close()
 
-    async def _next_request(self) -> tuple[RawRequestMessage, StreamReader] | None:
-        if not self._queue:
+    async def _linger(self) -> None:
+        """Wait until the client closes the connection; discard what it sends."""
+        self._is_lingering = self._stopped_parsing = True
+        self._pipeline.cancel()
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+        await asyncio.sleep(_LINGERING_CLOSE_S)
+
+    async def _next_request(self) -> Exchange | None:
+        self._pipeline.finish_turn()
+        if not self._pipeline:
             self._received_bytes = 0
             self._idle_since = self._loop.time()
             self._waiter = self._loop.create_future()
             await self._waiter
             self._idle_since = self._head_started_at = None
-        message = self._queue.popleft()
-        if not self._queue and self._buffer_paused:
+        if self._server.draining:
+            self._pipeline.stop()
+        exchange = self._pipeline.take()
+        if self._buffer_paused and len(self._pipeline) <= _MAX_PIPELINED_REQUESTS // 2:
             self._resume_reading_for_buffer()
-        return message
+        return exchange
 
-    async def _serve_request(
-        self, message: tuple[RawRequestMessage, StreamReader] | None
-    ) -> bool:
+    async def _serve_request(self, exchange: Exchange | None) -> bool:
         """Answer one request; return whether the connection must close."""
-        if message is None:
+        if exchange is None:
             self._write(Response(400), closes=True)
             return True
-        head, content = message
-        self._answer_begun = False
-        self._server.in_flight.begin()
+        if exchange.task is None:
+            self._server.in_flight.begin()
         try:
-            request = Request(head.method, head.path, head.headers, content, self)
-            response = await self._respond(head, request)
-            closes = head.should_close or head.version != _HTTP_1_1
-            closes = closes or self._server.draining or self._stopped_parsing
-            body_unread = not content.is_eof()
-            if isinstance(response, Response) and self._answer_begun:
+            response = await (exchange.task or self._respond(exchange))
+            closes = self._closes_after(exchange)
+            if isinstance(response, Response) and exchange.answer_begun:
                 log_event(Event.SECOND_ANSWER_DROPPED, status=response.status)
-                closes = True
+                self._pipeline.stop()
+                closes = not self._pipeline.is_next_started
             elif isinstance(response, Response):
-                omit_body = head.method == "HEAD"
-                self._write(response, closes or body_unread, omit_body)
+                self._write(response, closes, exchange.head.method == "HEAD")
                 await self._drain_helper()
         finally:
             self._server.in_flight.end()
-        if body_unread:
-            await self._read_rest(content)
-        return closes or body_unread
+        if not exchange.content.is_eof():
+            await self._read_rest(exchange.content)
+        return closes
 
-    async def _respond(
-        self, head: RawRequestMessage, request: Request
-    ) -> Response | Streamed:
+    def _closes_after(self, exchange: Exchange) -> bool:
+        """Return whether the connection closes after the answer to a request.
+
+        Requests that were started already are answered before it closes.
+        """
+        if (
+            exchange.closes
+            or self._server.draining
+            or self._stopped_parsing
+            or not exchange.content.is_eof()
+        ):
+            self._pipeline.stop()
+        return self._pipeline.is_stopped and not self._pipeline.is_next_started
+
+    async def _respond(self, exchange: Exchange) -> Response | Streamed:
+        head = exchange.head
         if "Expect" in head.headers and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._received_bytes > _UNMEASURED_HEAD_BYTES:
             limit = self._server.limits.header_bytes
             if sum(len(name) + len(value) for name, value in head.raw_headers) > limit:
                 return Response(431)
+        request = Request(
+            head.method, head.path, head.headers, exchange.content, self, exchange
+        )
         try:
             return await self._handler(request)
         except BodyTooLongError:
@@ -278,12 +336,13 @@
 
     async def stream(
         self,
+        exchange: Exchange,
         status: int,
         headers: Mapping[str, str],
         length: int | None,
         body: AsyncIterable[bytes],
     ) -> Streamed:
-        """Write an answer while its body arrives.
+        """Write an answer while its body arrives, once it is its turn.
 
         If the body ends with an error, the connection is aborted, so that the client
         cannot mistake a truncated answer for a complete one.
@@ -291,14 +350,16 @@
         :param length: bytes of the body; ``None`` to send it in chunks.
         :raises ConnectionResetError: when the client has disconnected.
         """
+        await exchange.wait_for_turn()
         if self.transport is None:
             raise ConnectionResetError("the client has left")
         try:
             if length is None:
                 headers = CIMultiDict([*headers.items(), _CHUNKED])
             encode = _whole if length is not None else _encode_chunk
-            head = _encode_response_head(status, headers, length, self._server.draining)
-            self._answer_begun = True
+            closes = self._closes_after(exchange)
+            head = _encode_response_head(status, headers, length, closes)
+            exchange.answer_begun = True
             self.transport.write(head)
             async for chunk in body:
                 await self._drain_helper()
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Mapping
 
+from aiohttp.http_parser import RawRequestMessage
+
 from _masticspoke.border.forwarding import forwarded_headers
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import limits_of
+from _masticspoke.decisions.fleet.routing import find_route
 from _masticspoke.fleet.dispatch.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.dispatch.front import FrontPort
 from _masticspoke.fleet.dispatch.front import IncomingRequest
@@ -14,6 +17,7 @@
 from _masticspoke.fleet.dispatch.front import serve_request
 from _masticspoke.fleet.dispatch.front import Unanswered
 from _masticspoke.fleet.dispatch.sending import AnswerForwarder
+from _masticspoke.http_server import Concurrent
 from _masticspoke.http_server import Handler
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
@@ -89,6 +93,24 @@
     return Response(_STATUS_BY_OUTCOME[result.outcome], headers)
 
 
+def concurrency(configuration: Latest[Configuration | None]) -> Concurrent:
+    """Return the function that tells which requests may run beside others.
+
+    Those are the requests that may run more than once: a client that pipelines them
+    doesn't rely on one having run before the next.
+    """
+
+    def concurrent(head: RawRequestMessage) -> bool:
+        active = configuration.value
+        if active is None:
+            return False
+        host = head.headers.get("Host", "").lower()
+        route = find_route(active, host, head.path.partition("?")[0])
+        return route is not None and route.idempotent
+
+    return concurrent
+
+
 def readiness_handler(
     configuration: Latest[Configuration | None], stop: PlannedStop
 ) -> Handler:
--- a/src/_masticspoke/platform/node.py
+++ b/src/_masticspoke/platform/node.py
@@ -19,6 +19,7 @@
 from _masticspoke.platform.backend_headers import set_backend_headers
 from _masticspoke.platform.configuration import decode_configuration
 from _masticspoke.platform.control_plane import control_plane_handler
+from _masticspoke.platform.ingress import concurrency
 from _masticspoke.platform.ingress import ingress_handler
 from _masticspoke.platform.ingress import readiness_handler
 from _masticspoke.platform.names import CONFIGURATION_KEY
@@ -50,6 +51,7 @@
         ingress_handler(front_port(parts)),
         control_plane_handler(parts.registry, parts.trail, parts.settings.backend),
         readiness_handler(parts.configuration, parts.stop),
+        concurrency(parts.configuration),
     )
     watch = settings_watch(parts, path, load_fleet_settings)
     return fleet_tree(parts, front_end, watch)
