Keys of organisations at the entry

Cause: the configuration holds organisations and their keys, and every request was served without one. The key and the organisation that a client sent went on to the backend server. The entry and the guard remove the key and X-Tenant; the guard sets X-Tenant for requests with a key. A nested request has the organisation and rank of the run that made it, which lineage.Parents keeps.

--- a/src/_masticspoke/decisions/fleet/lineage.py
+++ b/src/_masticspoke/decisions/fleet/lineage.py
@@ -35,22 +35,29 @@
     :param runs: number of current runs by request id.
     :param retries: ids of requests with a run that is a retry.
     :param with_failed_call: ids of requests whose nested request failed.
+    :param organisations: name of the organisation by request id, if there is one.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
     retries: set[str] = field(default_factory=set)
     with_failed_call: set[str] = field(default_factory=set)
+    organisations: dict[str, str] = field(default_factory=dict)
 
 
-def record_run_start(parents: Parents, request_id: str, is_retry: bool) -> None:
+def record_run_start(
+    parents: Parents, request_id: str, is_retry: bool, organisation: str = ""
+) -> None:
     """Record the start of a run.
 
     :param is_retry: whether an earlier send may have reached a backend server, or the
         run that made the request is a retry.
+    :param organisation: name of the organisation that it runs for; empty if none.
     """
     parents.runs[request_id] = parents.runs.get(request_id, 0) + 1
     if is_retry:
         parents.retries.add(request_id)
+    if organisation:
+        parents.organisations[request_id] = organisation
 
 
 def record_run_end(parents: Parents, request_id: str) -> None:
@@ -62,6 +69,7 @@
         parents.runs.pop(request_id, None)
         parents.retries.discard(request_id)
         parents.with_failed_call.discard(request_id)
+        parents.organisations.pop(request_id, None)
 
 
 def record_nested_failure(parents: Parents, request_id: str) -> None:
@@ -80,6 +88,16 @@
     return request_id.rpartition(_SEPARATOR)[0]
 
 
+def has_parent(request_id: str) -> bool:
+    """Return whether the id has the form of a nested request's id."""
+    return parent_id(request_id) != ""
+
+
+def organisation_of_parent(parents: Parents, request_id: str) -> str:
+    """Return the organisation of the run that made a request; empty if it has none."""
+    return parents.organisations.get(parent_id(request_id), "")
+
+
 def origin_of(parents: Parents, request_id: str) -> Origin:
     """Return what made the request with this id."""
     parent = parent_id(request_id)
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -112,6 +112,7 @@
     :param routes: routes by host and prefix.
     :param health_paths: path of the health check by service.
     :param organisations: organisation by key; ``None`` if requests need no keys.
+    :param organisation_by_name: the same organisations by name.
     """
 
     version: int
@@ -119,6 +120,15 @@
     health_paths: Mapping[str, str] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
     organisations: Mapping[str, Organisation] | None = None
+    organisation_by_name: Mapping[str, Organisation] = field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Index the organisations once, as nested requests name them."""
+        organisations = (self.organisations or {}).values()
+        by_name = {organisation.name: organisation for organisation in organisations}
+        object.__setattr__(self, "organisation_by_name", by_name)
 
 
 def limits_of(configuration: Configuration | None) -> Limits:
--- a/src/_masticspoke/fleet/dispatch/front.py
+++ b/src/_masticspoke/fleet/dispatch/front.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-from enum import StrEnum
 from typing import final
 
 from _masticspoke.decisions.fleet.lineage import Origin
@@ -19,11 +18,16 @@
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.model import Route
 from _masticspoke.decisions.fleet.routing import find_route
 from _masticspoke.decisions.fleet.stopping import latest_deadline
 from _masticspoke.events import Event
+from _masticspoke.fleet.dispatch.access import find_organisation
 from _masticspoke.fleet.dispatch.forwarded_request import ForwardedRequest
+from _masticspoke.fleet.dispatch.incoming import IncomingRequest
+from _masticspoke.fleet.dispatch.incoming import Outcome
+from _masticspoke.fleet.dispatch.incoming import Unanswered
 from _masticspoke.fleet.dispatch.sending import AnswerForwarder
 from _masticspoke.fleet.dispatch.sending import send
 from _masticspoke.fleet.dispatch.sending import SendPort
@@ -57,50 +61,6 @@
 _DEFAULT_TIMEOUT_S = 30.0
 
 
-@final
-class Outcome(StrEnum):
-    """How a request ended without an answer from a backend server.
-
-    ``NOT_READY``, ``NO_ROUTE`` and ``REFUSED`` guarantee that the request has not
-    run and never will.
-    """
-
-    NOT_READY = "not-ready"
-    NO_ROUTE = "no-route"
-    REFUSED = "refused"
-    FAILED = "failed"
-    EXPIRED = "expired"
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class Unanswered:
-    """A request that ended without an answer from a backend server.
-
-    :param reason: text for logs, counters and the response to the caller.
-    :param retry_s: seconds until the caller may try again; ``None`` to suggest no
-        retry.
-    """
-
-    outcome: Outcome
-    reason: str
-    retry_s: float | None = None
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class IncomingRequest:
-    """A request from a client or from a run at the local backend server.
-
-    :param caller_timeout_s: ``None`` if the caller sets no valid deadline.
-    """
-
-    request_id: str
-    host: str
-    path: str
-    caller_timeout_s: float | None
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class FrontPort:
@@ -122,6 +82,7 @@
     """The sends of one request so far, and their outcomes.
 
     :param received_at: when this node received the request.
+    :param organisation: organisation that the request runs for; ``None`` if none.
     :param service: service of the first send; ``None`` before it.
     :param tried: servers that the request has been sent to.
     :param sends: server and outcome of each send, for the log line.
@@ -137,6 +98,7 @@
     route: Route
     received_at: float
     origin: Origin
+    organisation: Organisation | None = None
     service: str | None = None
     tried: list[Address] = field(default_factory=list)
     sends: list[str] = field(default_factory=list)
@@ -176,7 +138,21 @@
         _log_result(port, incoming, configuration.version, None, no_route, received_at)
         return no_route
     origin = origin_of(port.send.guard.parents, incoming.request_id)
+    organisation = find_organisation(
+        configuration,
+        route,
+        incoming,
+        origin,
+        port.send.guard.parents,
+        fresh=True,
+    )
     progress = _Progress(route, received_at, origin)
+    if isinstance(organisation, Unanswered):
+        _log_result(
+            port, incoming, configuration.version, progress, organisation, received_at
+        )
+        return organisation
+    progress.organisation = organisation
     result = await _send_until_answered(port, incoming, progress, outgoing, forwarder)
     if progress.nested and _fails_parent_run(result):
         record_nested_failure(port.send.guard.parents, incoming.request_id)
@@ -243,7 +219,8 @@
 
 
 def _new_job(port: FrontPort, incoming: IncomingRequest, progress: _Progress) -> Job:
-    route = progress.route
+    route, organisation = progress.route, progress.organisation
+    rank = None if organisation is None else organisation.rank
     caller_timeout_s = (
         _DEFAULT_TIMEOUT_S
         if incoming.caller_timeout_s is None
@@ -256,12 +233,13 @@
         route=route.name,
         service=progress.service or "",
         caller=port.service.value,
-        rank=route.rank,
+        rank=route.rank if rank is None else rank,
         idempotent=route.idempotent,
         nested=progress.nested,
         is_retry=progress.sends_arrived > 0 or progress.origin is Origin.RETRIED_RUN,
         objective_at=progress.received_at + route.objective_s,
         deadline=latest_deadline(deadline, now, port.stop.remaining_s(now)),
+        organisation=_organisation_name(progress),
     )
 
 
@@ -319,6 +297,11 @@
     return Unanswered(Outcome.FAILED, progress.last_outcome)
 
 
+def _organisation_name(progress: _Progress | None) -> str:
+    organisation = None if progress is None else progress.organisation
+    return "" if organisation is None else organisation.name
+
+
 def _log_result(
     port: FrontPort,
     incoming: IncomingRequest,
@@ -337,6 +320,7 @@
         "route": "" if progress is None else progress.route.name,
         "version": version,
         "nested": progress is not None and progress.nested,
+        "organisation": _organisation_name(progress),
         "took_ms": int((guard.clock() - received_at) * 1000),
         "sends": [] if progress is None else progress.sends,
     }
--- a/src/_masticspoke/platform/backend_headers.py
+++ b/src/_masticspoke/platform/backend_headers.py
@@ -15,9 +15,11 @@
 from _masticspoke.platform.names import DEADLINE_MS
 from _masticspoke.platform.names import EXPECTED_INSTANCE
 from _masticspoke.platform.names import INSTANCE_ID
+from _masticspoke.platform.names import KEY
 from _masticspoke.platform.names import LEAVING
 from _masticspoke.platform.names import NOT_EXECUTED
 from _masticspoke.platform.names import NOT_RUN_BY_STATUS
+from _masticspoke.platform.names import ORGANISATION
 from _masticspoke.platform.names import RATE_LIMIT
 
 _OK = 200
@@ -32,11 +34,18 @@
 ) -> None:
     """Set the headers that a backend server expects with each request.
 
+    A node of an earlier build forwards the key and the organisation that a client sent,
+    so both are removed here too. A nested request has no key, so it names none.
+
     :param left_s: seconds until the deadline.
     """
     headers[DEADLINE_MS] = str(max(1, int(left_s * 1000)))
     headers[EXPECTED_INSTANCE] = instance
     headers[CALLER_SERVICE] = job.caller
+    headers.popall(KEY, None)
+    headers.popall(ORGANISATION, None)
+    if job.organisation and not job.nested:
+        headers[ORGANISATION] = job.organisation
 
 
 def read_not_run(status: int, headers: Mapping[str, str]) -> NotRun | None:
--- a/src/_masticspoke/platform/configuration.py
+++ b/src/_masticspoke/platform/configuration.py
@@ -95,19 +95,25 @@
         if organisation.name in names:
             raise ValueError("two organisations with one name")
         names.add(organisation.name)
-        for key in map(plain_text, row.get("api_keys", [])):
+        for key in map(_name, row.get("api_keys", [])):
             if by_key.setdefault(key, organisation) is not organisation:
                 raise ValueError("two organisations with one key")
     return by_key
 
 
+def _name(value: Any) -> str:
+    if value == "":
+        raise ValueError("an empty name or key")
+    return plain_text(value)
+
+
 def _organisation(row: Mapping[str, Any]) -> Organisation:
     rate_per_s = finite_number(row.get("rate_per_s", 0))
     burst = finite_number(row.get("burst", 0))
     if rate_per_s < 0 or burst < 0:
         raise ValueError("a negative quota")
     return Organisation(
-        name=plain_text(row["name"]),
+        name=_name(row["name"]),
         rank=whole_number(row["priority"]) if "priority" in row else None,
         rate_per_s=rate_per_s,
         burst=burst,
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -12,10 +12,10 @@
 from _masticspoke.decisions.fleet.routing import find_route
 from _masticspoke.fleet.dispatch.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.dispatch.front import FrontPort
-from _masticspoke.fleet.dispatch.front import IncomingRequest
-from _masticspoke.fleet.dispatch.front import Outcome
 from _masticspoke.fleet.dispatch.front import serve_request
-from _masticspoke.fleet.dispatch.front import Unanswered
+from _masticspoke.fleet.dispatch.incoming import IncomingRequest
+from _masticspoke.fleet.dispatch.incoming import Outcome
+from _masticspoke.fleet.dispatch.incoming import Unanswered
 from _masticspoke.fleet.dispatch.sending import AnswerForwarder
 from _masticspoke.http_server import Concurrent
 from _masticspoke.http_server import Handler
@@ -23,6 +23,7 @@
 from _masticspoke.http_server import Response
 from _masticspoke.http_server import Streamed
 from _masticspoke.platform.names import DEADLINE_MS
+from _masticspoke.platform.names import KEY
 from _masticspoke.platform.names import READINESS_PATH
 from _masticspoke.platform.names import REPLACED_HEADERS
 from _masticspoke.platform.names import REQUEST_ID
@@ -33,6 +34,7 @@
 _STATUS_BY_OUTCOME: Mapping[Outcome, int] = {
     Outcome.NOT_READY: 503,
     Outcome.NO_ROUTE: 404,
+    Outcome.UNAUTHORISED: 401,
     Outcome.REFUSED: 503,
     Outcome.FAILED: 502,
     Outcome.EXPIRED: 504,
@@ -74,7 +76,7 @@
 
 
 def _incoming_request(request: Request) -> IncomingRequest:
-    """Return id, host, path and deadline of a request; ignore a malformed deadline."""
+    """Return what the entry decides by; ignore a malformed deadline."""
     deadline = request.headers.get(DEADLINE_MS, "")
     valid = deadline.isascii() and deadline.isdigit()
     valid = valid and len(deadline) <= _MAX_DEADLINE_DIGITS
@@ -83,6 +85,7 @@
         host=request.headers.get("Host", "").lower(),
         path=request.path,
         caller_timeout_s=int(deadline) / 1000 if valid else None,
+        key=request.headers.get(KEY, ""),
     )
 
 
--- a/src/_masticspoke/platform/names.py
+++ b/src/_masticspoke/platform/names.py
@@ -15,6 +15,9 @@
 DEADLINE_MS = "X-Deadline-Ms"
 EXPECTED_INSTANCE = "X-Expected-Instance"
 CALLER_SERVICE = "X-Caller-Service"
+# A client's key, which is not forwarded, and the organisation that it belongs to.
+KEY = "X-Api-Key"
+ORGANISATION = "X-Tenant"
 # Headers of answers: backend servers set all but the last, which a node sets. The rate
 # limit is a decimal number of requests a second, from all nodes together.
 INSTANCE_ID = "X-Instance-Id"
@@ -25,7 +28,8 @@
 
 # Removed from requests of callers; a guard sets them for its backend server.
 REPLACED_HEADERS = frozenset(
-    {DEADLINE_MS.lower(), EXPECTED_INSTANCE.lower(), CALLER_SERVICE.lower()}
+    name.lower()
+    for name in (DEADLINE_MS, EXPECTED_INSTANCE, CALLER_SERVICE, KEY, ORGANISATION)
 )
 
 CONFIGURATION_STREAM = "keyed.op"
--- a/testing/decisions/fleet/test_lineage.py
+++ b/testing/decisions/fleet/test_lineage.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from _masticspoke.decisions.fleet.lineage import has_parent
+from _masticspoke.decisions.fleet.lineage import organisation_of_parent
 from _masticspoke.decisions.fleet.lineage import Origin
 from _masticspoke.decisions.fleet.lineage import origin_of
 from _masticspoke.decisions.fleet.lineage import Parents
@@ -46,3 +48,24 @@
     assert parents.with_failed_call == {"a1"}
     record_run_end(parents, "a1")
     assert parents == Parents()
+
+
+def test_nested_request_has_the_organisation_of_its_parent_while_that_runs() -> None:
+    parents = Parents()
+    record_run_start(parents, "a1", is_retry=False, organisation="north")
+    record_run_start(parents, "a2", is_retry=False)
+    assert organisation_of_parent(parents, "a1.b") == "north"
+    assert organisation_of_parent(parents, "a2.b") == ""
+    assert organisation_of_parent(parents, "a1") == ""
+    record_run_end(parents, "a1")
+    assert organisation_of_parent(parents, "a1.b") == ""
+    record_run_end(parents, "a2")
+    assert parents == Parents()
+
+
+def test_id_without_a_part_before_the_separator_names_no_parent() -> None:
+    """A keyless request with such an id is a client's and gets 401."""
+    assert has_parent("a1.b")
+    assert not has_parent("a1")
+    assert not has_parent(".b")
+    assert not has_parent("")
--- a/testing/fleet/platform_fleet.py
+++ b/testing/fleet/platform_fleet.py
@@ -73,16 +73,37 @@
     version: int = 0
     ids: count[int] = field(default_factory=count)
     stop_timeout_s: float = 1.0
+    revocation_s: float | None = None
 
-    def publish(self, *rows: list[object], checked: tuple[str, ...] = ()) -> None:
+    def publish(
+        self,
+        *rows: list[object],
+        checked: tuple[str, ...] = (),
+        keys: dict[str, list[str]] | None = None,
+        ranks: dict[str, int] | None = None,
+        public: tuple[str, ...] = (),
+    ) -> None:
         """Publish a configuration to the log; each row is a route.
 
         :param checked: services with a health check.
+        :param keys: keys by organisation; without them no request needs a key.
+        :param ranks: priorities of the organisations that have one.
+        :param public: names of the routes that need no key.
         """
         self.version += 10
+        tenants = {"columns": ["name", "api_keys", "priority"]} | {
+            "rows": [
+                [name, values, (ranks or {}).get(name)]
+                for name, values in (keys or {}).items()
+            ]
+        }
         value = {
             "version": self.version,
-            "routes": {"columns": COLUMNS, "rows": list(rows)},
+            "routes": {
+                "columns": [*COLUMNS, "public"],
+                "rows": [[*row, row[0] in public] for row in rows],
+            },
+            "tenants": None if keys is None else tenants,
             "services": {
                 "columns": ["name", "health_check_path"],
                 "rows": [[service, HEALTH_PATH] for service in checked],
@@ -115,6 +136,7 @@
             log=Address(host, self.log_port),
             budget=BudgetBounds(ratio=1.0, extra=1000.0),
             stop_timeout_s=self.stop_timeout_s,
+            revocation_s=self.revocation_s,
         )
         backend = PlatformBackend(
             host,
--- a/testing/platform/test_backend_headers.py
+++ b/testing/platform/test_backend_headers.py
@@ -4,10 +4,12 @@
 from multidict import CIMultiDict
 from testing.decisions.fleet.samples import job
 
+from _masticspoke.border.forwarding import forwarded_headers
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.platform.backend_headers import read_health
 from _masticspoke.platform.backend_headers import read_not_run
 from _masticspoke.platform.backend_headers import set_backend_headers
+from _masticspoke.platform.names import REPLACED_HEADERS
 
 
 def test_deadline_header_is_replaced_by_the_time_left() -> None:
@@ -20,6 +22,25 @@
     assert headers["X-Caller-Service"] == "desk"
 
 
+@pytest.mark.parametrize(
+    ("organisation", "nested", "sent"),
+    [("north", False, ["north"]), ("", False, []), ("north", True, []), ("", True, [])],
+)
+def test_organisation_is_set_or_removed_and_the_key_removed(
+    organisation: str, nested: bool, sent: list[str]
+) -> None:
+    """An entry node of an earlier build forwards what the client sent."""
+    headers: CIMultiDict[str] = CIMultiDict(
+        [("x-tenant", "south"), ("X-Tenant", "east"), ("x-api-key", "secret")]
+    )
+    set_backend_headers(
+        headers, job(organisation=organisation, nested=nested), "i-1", 0.25
+    )
+
+    assert headers.getall("X-Tenant", []) == sent
+    assert "X-Api-Key" not in headers
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "reason"),
     [
@@ -42,3 +63,10 @@
     assert read_health(200, {"X-Instance-Id": "i-1"}) == "i-1"
     assert read_health(503, {"X-Instance-Id": "i-1"}) is None
     assert read_health(200, {}) is None
+
+
+def test_key_and_organisation_of_a_client_are_not_forwarded_to_other_nodes() -> None:
+    """The node that receives them removes them too, which would hide the leak."""
+    received = {"x-aPi-key": "secret", "X-TENANT": "north", "X-Other": "1"}
+
+    assert dict(forwarded_headers(received, REPLACED_HEADERS)) == {"X-Other": "1"}
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -116,6 +116,8 @@
         [[None, ["k1"], 1, 1, 1]],
         [["o1", ["k1"], 1, -1, 1]],
         [["o1", [7], 1, 1, 1]],
+        [["o1", [""], 1, 1, 1]],
+        [["", ["k1"], 1, 1, 1]],
         [["o1", ["k1"], "first", 1, 1]],
     ],
 )
--- a/testing/standins/platform_backend.py
+++ b/testing/standins/platform_backend.py
@@ -28,6 +28,7 @@
     body: bytes
     deadline_ms: int
     caller: str
+    headers: dict[str, str]
     cancelled: bool = False
 
 
@@ -95,6 +96,7 @@
             await request.read(),
             int(request.headers["X-Deadline-Ms"]),
             request.headers["X-Caller-Service"],
+            {name.lower(): value for name, value in request.headers.items()},
         )
         self.arrivals.append(arrival)
         self.started_at.append(asyncio.get_running_loop().time())
