Removed keys are refused everywhere within the bound

Cause: a node that is cut off from the log, suspended, or behind a stalled relay kept its configuration, and with it keys that had been removed long before. Change: each read of the configuration confirms its version as of the time at which it was sent, a relay's answer as of the query less the age of the relay's own confirmation (new optional fields version and confirmed_age_ms). With the bound set, reads and held queries wait 0.5 s at most, and a relay that confirms nothing, such as one of an earlier build, is left. Events 4207 and 4208. Each configuration of a batch of records is now decoded, as a broken last one hid the good one before it.

--- a/src/_masticspoke/border/follow.py
+++ b/src/_masticspoke/border/follow.py
@@ -48,6 +48,10 @@
         ``None`` if it turns the relay away.
     :param crash_reports: crash reports that have changed since; a relay of an earlier
         build sends none.
+    :param version: version of the relay's configuration.
+    :param confirmed_age_ms: time since that was known to be the newest version, rounded
+        up, milliseconds; ``None`` if it never was. A relay of an earlier build does not
+        say.
     """
 
     relay: int
@@ -56,6 +60,8 @@
     servers: tuple[BackendServer, ...]
     log_age_ms: int | None
     crash_reports: tuple[CrashReport, ...] = ()
+    version: int = 0
+    confirmed_age_ms: int | None = None
 
 
 def encode_follow_request(message: FollowRequest) -> bytes:
@@ -84,6 +90,8 @@
             "servers": [state_to_list(server) for server in message.servers],
             "log_age_ms": message.log_age_ms,
             "crashes": [report_to_list(report) for report in message.crash_reports],
+            "version": message.version,
+            "confirmed_age_ms": message.confirmed_age_ms,
         },
         separators=(",", ":"),
     ).encode()
@@ -99,6 +107,7 @@
         states = [state_from_list(state) for state in document["servers"]]
         reports = [report_from_list(report) for report in document.get("crashes", ())]
         age_ms = document["log_age_ms"]
+        confirmed_age_ms = document.get("confirmed_age_ms")
         return FollowAnswer(
             whole_number(document["relay"]),
             whole_number(document["change"]),
@@ -106,6 +115,8 @@
             tuple(state for state in states if state is not None),
             None if age_ms is None else whole_number(age_ms),
             tuple(report for report in reports if report is not None),
+            whole_number(document.get("version", 0)),
+            None if confirmed_age_ms is None else whole_number(confirmed_age_ms),
         )
     except MALFORMED:
         return None
--- a/src/_masticspoke/decisions/fleet/relays.py
+++ b/src/_masticspoke/decisions/fleet/relays.py
@@ -29,13 +29,8 @@
 # Oldest answer of the log that a relay may rely on, seconds. A version that the log has
 # accepted later than that may be unknown to it.
 MAX_LOG_AGE_S = 1.5
-# Longest time for which a relay holds the answer to a node, seconds.
-MAX_HOLD_S = 1.0
 # Shortest such time, so that a node doesn't ask in a loop.
 MIN_HOLD_S = 0.1
-# Long polls of the configuration by a relay and by other nodes, seconds.
-RELAY_READ_WAIT_S = 1.0
-READ_WAIT_S = 2.0
 # Pauses after a read of states of backend servers, which often change together, by
 # whether the node may have to tell others at once, seconds.
 STATES_PAUSE_S = {True: 0.4, False: 1.5}
@@ -47,6 +42,43 @@
 MAX_PAUSE_S = 60.0
 
 
+# With a bound on the revocation of keys, each wait takes this share of it at most, so
+# that a node misses one answer and is confirmed again before it has to refuse keys.
+_WAIT_SHARE = 0.1
+_MAX_BOUNDED_WAIT_S = 0.5
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """How long queries for a newer configuration wait, seconds.
+
+    :param relay_read_s: long poll of the log by a relay.
+    :param read_s: long poll of the log by another node.
+    :param max_hold_s: longest time for which a relay holds the answer to a node.
+    :param confirmed: whether a relay must say how old its knowledge is.
+    """
+
+    relay_read_s: float = 1.0
+    read_s: float = 2.0
+    max_hold_s: float = 1.0
+    confirmed: bool = False
+
+
+UNBOUNDED_WAITS = Waits()
+
+
+def waits_within(revocation_s: float | None) -> Waits:
+    """Return the waits with a bound on the revocation of keys; ``None`` for no bound.
+
+    :param revocation_s: time after which a removed key is refused at every node.
+    """
+    if revocation_s is None:
+        return UNBOUNDED_WAITS
+    wait_s = min(_MAX_BOUNDED_WAIT_S, _WAIT_SHARE * revocation_s)
+    return Waits(wait_s, wait_s, wait_s, confirmed=True)
+
+
 @final
 @dataclass(slots=True)
 class _Failure:
@@ -74,6 +106,7 @@
     is_zone_large: bool = False
     asked_at: float | None = None
     failures: dict[str, _Failure] = field(default_factory=dict)
+    waits: Waits = UNBOUNDED_WAITS
 
 
 def is_relay(state: RelayState, now: float) -> bool:
@@ -83,7 +116,8 @@
 
 def read_wait_s(state: RelayState, now: float) -> float:
     """Return how long a read of the configuration waits for a new version, seconds."""
-    return RELAY_READ_WAIT_S if _tells_others(state, now) else READ_WAIT_S
+    waits = state.waits
+    return waits.relay_read_s if _tells_others(state, now) else waits.read_s
 
 
 def states_pause_s(state: RelayState, now: float) -> float:
@@ -163,7 +197,24 @@
     state.failures[host] = _Failure(now + pause_s, pause_s)
 
 
-def hold_s(log_age_s: float | None) -> float:
+def usable_age_s(
+    log_age_s: float | None, confirmed_age_s: float | None, waits: Waits
+) -> float | None:
+    """Return the age of the log's last answer; ``None`` if the relay is of no use.
+
+    With a bound on the revocation of keys, a relay must also confirm versions. One of
+    an earlier build doesn't.
+
+    :param confirmed_age_s: time since the relay's version was known to be the newest.
+    """
+    if not waits.confirmed:
+        return log_age_s
+    if confirmed_age_s is None or confirmed_age_s > MAX_USUAL_AGE_S:
+        return None
+    return log_age_s
+
+
+def hold_s(log_age_s: float | None, max_hold_s: float) -> float:
     """Return how long a relay holds an answer without news, seconds.
 
     The answer comes before the log's last answer is too old to rely on.
@@ -171,5 +222,5 @@
     :param log_age_s: time since the log last answered; ``None`` if it hasn't.
     """
     if log_age_s is None:
-        return MAX_HOLD_S
-    return min(MAX_HOLD_S, max(MIN_HOLD_S, MAX_LOG_AGE_S - log_age_s))
+        return max_hold_s
+    return min(max_hold_s, max(MIN_HOLD_S, MAX_LOG_AGE_S - log_age_s))
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -78,6 +78,10 @@
         4205, "WARNING", "state of a backend server unreadable"
     )
     LOG_FOLLOWED = EventSpec(4206, "INFO", "log followed through another node or read")
+    KEYS_REFUSED = EventSpec(
+        4207, "WARNING", "keys refused, configuration not confirmed in time"
+    )
+    KEYS_ACCEPTED = EventSpec(4208, "INFO", "keys accepted again")
     LINES_DROPPED = EventSpec(4901, "WARNING", "log lines dropped")
     MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -5,12 +5,8 @@
 import sys
 import time
 from collections.abc import Callable
-from collections.abc import Mapping
 from random import Random
 
-from _masticspoke.border.backend_state import decode_state
-from _masticspoke.border.crash_report import decode_report
-from _masticspoke.border.crash_report import is_report_key
 from _masticspoke.border.exposition import encode_metrics
 from _masticspoke.border.exposition import EXPOSITION_TYPE
 from _masticspoke.border.follow import FOLLOW_PATH
@@ -18,13 +14,9 @@
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.connections import connection_owner
 from _masticspoke.connections import MAX_LINE_BYTES
-from _masticspoke.decisions.fleet.log_rate_limit import Importance
-from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.decisions.fleet.model import limits_of
 from _masticspoke.decisions.fleet.relays import states_pause_s
-from _masticspoke.decisions.fleet.suspects import CrashReport
-from _masticspoke.events import Event
 from _masticspoke.fleet.dispatch.front import FrontPort
 from _masticspoke.fleet.dispatch.placer import placer
 from _masticspoke.fleet.dispatch.sending import SendPort
@@ -39,13 +31,13 @@
 from _masticspoke.fleet.guard.probe import probe
 from _masticspoke.fleet.guard.probe import ProbePort
 from _masticspoke.fleet.guard.run_recorder import run_recorder
-from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.followers import CONNECT_TIMEOUT_S
 from _masticspoke.fleet.knowledge.followers import Following
 from _masticspoke.fleet.knowledge.followers import keyed_follower
-from _masticspoke.fleet.knowledge.followers import OnValues
 from _masticspoke.fleet.knowledge.followers import states_writer
-from _masticspoke.fleet.knowledge.registry import LOG_SOURCE
+from _masticspoke.fleet.knowledge.log_values import LogValuesPort
+from _masticspoke.fleet.knowledge.log_values import on_configuration
+from _masticspoke.fleet.knowledge.log_values import on_states
 from _masticspoke.fleet.knowledge.registry import registry
 from _masticspoke.fleet.knowledge.registry_state import RegistryPort
 from _masticspoke.fleet.knowledge.relaying import follow_handler
@@ -55,13 +47,10 @@
 from _masticspoke.fleet.knowledge.sync import sync_handler
 from _masticspoke.fleet.knowledge.sync import sync_task
 from _masticspoke.fleet.knowledge.sync import SyncPort
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.fleet.parts import FleetParts
 from _masticspoke.fleet.reporting.counts import AskCounts
 from _masticspoke.fleet.reporting.counts import Counts
 from _masticspoke.fleet.reporting.counts import samples
-from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.fleet.reporting.trail import nonblocking_writer
 from _masticspoke.fleet.reporting.trail import trail
 from _masticspoke.http_pool import pool_owner
@@ -111,6 +100,8 @@
         parts.trail,
         parts.dialect.configuration_stream,
         parts.dialect.servers_stream,
+        parts.confirmation,
+        settings.revocation_s,
     )
     registry_body = registry(
         parts.registry,
@@ -119,6 +110,7 @@
         settings.backend,
         boot_clock,
     )
+    log_values = LogValuesPort(parts.registry, parts.trail, parts.dialect)
     configuration_follower = keyed_follower(
         parts.registry,
         settings.log,
@@ -127,8 +119,9 @@
             read_wait_s=lambda: parts.configuration_wait_s.value,
             batch_pause_s=lambda: 0.0,
             active=parts.reads_log,
+            clock=boot_clock,
         ),
-        _on_configuration(parts),
+        on_configuration(log_values),
     )
     states_follower = keyed_follower(
         parts.registry,
@@ -138,8 +131,9 @@
             read_wait_s=lambda: _STATES_READ_WAIT_S,
             batch_pause_s=lambda: states_pause_s(parts.relay_state, boot_clock()),
             active=parts.reads_log,
+            clock=boot_clock,
         ),
-        _on_states(parts),
+        on_states(log_values),
     )
     writer = states_writer(
         parts.unsaved,
@@ -168,45 +162,6 @@
     return supervisor("knowledge", children, boot_clock)
 
 
-def _on_configuration(parts: FleetParts) -> OnValues:
-    def on_values(values: Mapping[str, bytes]) -> None:
-        raw = values.get(parts.dialect.configuration_key)
-        if not raw:
-            return
-        configuration = parts.dialect.decode_configuration(raw)
-        if configuration is None:
-            fields = {"bytes": len(raw)}
-            record = EventRecord(
-                Event.CONFIGURATION_UNREADABLE, fields, Importance.CHANGE
-            )
-            parts.trail.tell(record)
-            return
-        parts.registry.tell(ConfigurationReceived(configuration, raw, LOG_SOURCE))
-
-    return on_values
-
-
-def _on_states(parts: FleetParts) -> OnValues:
-    def on_values(values: Mapping[str, bytes]) -> None:
-        entries = {key: _decode_entry(key, value) for key, value in values.items()}
-        for key in (key for key, entry in entries.items() if entry is None):
-            if values[key]:
-                fields = {"key": key, "bytes": len(values[key])}
-                record = EventRecord(Event.STATE_UNREADABLE, fields, Importance.FAILURE)
-                parts.trail.tell(record)
-        servers = tuple(e for e in entries.values() if isinstance(e, BackendServer))
-        parts.registry.tell(ServersReceived(servers, LOG_SOURCE))
-        reports = tuple(e for e in entries.values() if isinstance(e, CrashReport))
-        if reports:
-            parts.registry.tell(CrashReportsReceived(reports, time.time()))
-
-    return on_values
-
-
-def _decode_entry(key: str, value: bytes) -> BackendServer | CrashReport | None:
-    return decode_report(value) if is_report_key(key) else decode_state(value)
-
-
 def sync_port(parts: FleetParts) -> SyncPort:
     """Return the port of the sync task and of the handler of exchanges."""
     settings = parts.settings
@@ -229,6 +184,8 @@
         parts.dialect,
         parts.settings.nodes.port,
         parts.stop,
+        parts.relay_state.waits,
+        boot_clock,
     )
 
 
@@ -300,7 +257,14 @@
         settings.backend,
         settings.nodes.port,
     )
-    return FrontPort(parts.configuration, send, parts.service, parts.stop)
+    return FrontPort(
+        parts.configuration,
+        send,
+        parts.service,
+        parts.stop,
+        parts.confirmation,
+        settings.revocation_s,
+    )
 
 
 def metrics_handler(parts: FleetParts) -> Handler:
--- a/src/_masticspoke/fleet/dispatch/front.py
+++ b/src/_masticspoke/fleet/dispatch/front.py
@@ -10,6 +10,8 @@
 from dataclasses import field
 from typing import final
 
+from _masticspoke.decisions.fleet.freshness import Confirmation
+from _masticspoke.decisions.fleet.freshness import is_fresh
 from _masticspoke.decisions.fleet.lineage import Origin
 from _masticspoke.decisions.fleet.lineage import origin_of
 from _masticspoke.decisions.fleet.lineage import record_nested_failure
@@ -68,12 +70,16 @@
 
     :param configuration: the configuration in force; ``None`` until one is received.
     :param service: service of the backend server on this VM.
+    :param confirmation: when that configuration was known to be the newest.
+    :param revocation_s: bound on the revocation of a key; ``None`` if there is none.
     """
 
     configuration: Latest[Configuration | None]
     send: SendPort
     service: Latest[str]
     stop: PlannedStop
+    confirmation: Latest[Confirmation]
+    revocation_s: float | None
 
 
 @final
@@ -144,7 +150,12 @@
         incoming,
         origin,
         port.send.guard.parents,
-        fresh=True,
+        fresh=is_fresh(
+            port.confirmation.value,
+            configuration.version,
+            port.revocation_s,
+            port.send.guard.clock(),
+        ),
     )
     progress = _Progress(route, received_at, origin)
     if isinstance(organisation, Unanswered):
--- a/src/_masticspoke/fleet/knowledge/followers.py
+++ b/src/_masticspoke/fleet/knowledge/followers.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -39,6 +38,7 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.supervisor import Clock
 from _masticspoke.supervise.switch import Switch
 
 # Timeout of one request to the log, except for long polls.
@@ -51,7 +51,25 @@
 FIRST_RETRY_PAUSE_S = 0.15
 MAX_RETRY_PAUSE_S = 1.0
 
-OnValues = Callable[[Mapping[str, bytes]], None]
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeyedRead:
+    """Values of a keyed stream, from one read.
+
+    :param pairs: key and value of each record, in the order of the stream; of the
+        newest record of each key if ``anew``.
+    :param anew: whether earlier records may have been missed.
+    :param sent_at: time at which the read was sent; what the log acknowledged before
+        is in this read or an earlier one, unless it was missed.
+    """
+
+    pairs: tuple[tuple[str, bytes], ...]
+    anew: bool
+    sent_at: float
+
+
+OnRead = Callable[[KeyedRead], None]
 
 
 @final
@@ -64,33 +82,35 @@
     :param batch_pause_s: returns the pause after a read with records, so that the next
         read returns many.
     :param active: off while the node follows the log through another node.
+    :param clock: boot clock.
     """
 
     stream: str
     read_wait_s: Callable[[], float]
     batch_pause_s: Callable[[], float]
     active: Switch
+    clock: Clock
 
 
 def keyed_follower(
     registry: Mailbox[RegistryMessage],
     log: Address,
     following: Following,
-    on_values: OnValues,
+    on_read: OnRead,
 ) -> ChildBody:
     """Return the body of a task that follows a keyed stream.
 
     After each fault the task begins with the newest value of each key, so that it
     never depends on records that the log has dropped.
 
-    :param on_values: gets the newest values by key, some of them more than once.
+    :param on_read: gets the values of each read, some of them more than once.
     """
 
     async def run(life: Lifecycle) -> None:
         life.mark_started()
         async with open_session(CONNECT_TIMEOUT_S) as session:
             client = LogClient(session, log, LOG_TIMEOUT_S)
-            await _follow_until_cancelled(registry, client, following, on_values)
+            await _follow_until_cancelled(registry, client, following, on_read)
 
     return run
 
@@ -99,7 +119,7 @@
     registry: Mailbox[RegistryMessage],
     client: LogClient,
     following: Following,
-    on_values: OnValues,
+    on_read: OnRead,
 ) -> None:
     random = Random()
     failures = 0
@@ -108,7 +128,7 @@
             registry.tell(LogNotRead(following.stream))
             await following.active.wait_on()
             failures = 0
-        fault, log_answered = await _follow(registry, client, following, on_values)
+        fault, log_answered = await _follow(registry, client, following, on_read)
         if fault is None:
             continue
         failures = 1 if log_answered else failures + 1
@@ -122,22 +142,24 @@
     registry: Mailbox[RegistryMessage],
     client: LogClient,
     following: Following,
-    on_values: OnValues,
+    on_read: OnRead,
 ) -> tuple[LogFault | None, bool]:
     """Follow a stream until a fault, or until it need not be followed.
 
     :return: the fault, and whether the newest values had been read before it.
     """
     stream = following.stream
+    sent_at = following.clock()
     newest = await read_newest(client, stream)
     if isinstance(newest, LogFault):
         return newest, False
     registry.tell(LogHealth(stream, None))
     poll_client = replace(client, timeout_s=POLL_MARGIN_S)
-    on_values(newest.values)
+    on_read(KeyedRead(tuple(newest.values.items()), True, sent_at))
     offset = newest.next_offset
     while following.active.is_on:
         wait_s = following.read_wait_s()
+        sent_at = following.clock()
         result = await read(poll_client, stream, offset, wait_s)
         if isinstance(result, LogFault):
             return result, True
@@ -145,7 +167,7 @@
             # The log no longer retains the records at this offset.
             return LogFault.OFFSET_MISMATCH, True
         registry.tell(LogHealth(stream, None))
-        on_values(_last_values(result))
+        on_read(KeyedRead(_pairs(result), False, sent_at))
         offset = result.next_offset
         pause_s = following.batch_pause_s() if result.records else 0.0
         if pause_s > 0:
@@ -153,9 +175,9 @@
     return None, True
 
 
-def _last_values(result: ReadResult) -> dict[str, bytes]:
+def _pairs(result: ReadResult) -> tuple[tuple[str, bytes], ...]:
     pairs = (split_keyed(record.data) for record in result.records)
-    return dict(pair for pair in pairs if pair is not None)
+    return tuple(pair for pair in pairs if pair is not None)
 
 
 @final
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -16,6 +16,9 @@
 from _masticspoke.fleet.knowledge.registry_crashes import crash_reports_received
 from _masticspoke.fleet.knowledge.registry_crashes import run_abandoned
 from _masticspoke.fleet.knowledge.registry_crashes import suspect_succeeded
+from _masticspoke.fleet.knowledge.registry_freshness import check_freshness
+from _masticspoke.fleet.knowledge.registry_freshness import freshness_timer_s
+from _masticspoke.fleet.knowledge.registry_freshness import version_confirmed
 from _masticspoke.fleet.knowledge.registry_news import answer_held
 from _masticspoke.fleet.knowledge.registry_news import ask_news
 from _masticspoke.fleet.knowledge.registry_news import ask_registry_snapshot
@@ -24,6 +27,7 @@
 from _masticspoke.fleet.knowledge.registry_state import RegistryState
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
+from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
 from _masticspoke.fleet.messages import AskLocalBackend
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
@@ -52,6 +56,7 @@
     | Deregistered
     | ServersReceived
     | ConfigurationReceived
+    | VersionConfirmed
     | LogHealth
     | LogNotRead
     | AskRegistrySnapshot
@@ -84,7 +89,15 @@
     async def run(life: Lifecycle) -> None:
         state = RegistryTask(registry_state, port, backend_address)
         _send_servers(state, ())
-        await serve_at_once(inbox, state, _HANDLERS, clock, life)
+        await serve_at_once(
+            inbox,
+            state,
+            _HANDLERS,
+            clock,
+            life,
+            wait_s=freshness_timer_s,
+            on_timer=check_freshness,
+        )
 
     return run
 
@@ -284,6 +297,8 @@
         # A peer may have missed a later version, which the log would show.
         _hold_unconfirmed(state.registry, message)
         return
+    if previous is None:
+        state.registry.configured_at = now
     state.registry.raw = message.raw
     state.port.configuration.tell(message.configuration)
     answer_held(state, now)
@@ -353,6 +368,7 @@
     Deregistered: _deregistered,
     ServersReceived: _servers_received,
     ConfigurationReceived: _configuration_received,
+    VersionConfirmed: version_confirmed,
     LogHealth: _log_health,
     LogNotRead: _log_not_read,
     AskNews: ask_news,
--- a/src/_masticspoke/fleet/knowledge/registry_news.py
+++ b/src/_masticspoke/fleet/knowledge/registry_news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from _masticspoke.decisions.fleet import members
+from _masticspoke.fleet.knowledge.registry_freshness import confirmed_age_s
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
 from _masticspoke.fleet.knowledge.registry_state import version_in_force
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
@@ -53,6 +54,8 @@
             if number > known and address in registry_state.suspects.reports
         ),
         log_age_s=None if answered_at is None else now - answered_at,
+        version=version_in_force(state),
+        confirmed_age_s=confirmed_age_s(state, now),
     )
 
 
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -8,6 +8,7 @@
 from random import getrandbits
 from typing import final
 
+from _masticspoke.decisions.fleet.freshness import Confirmation
 from _masticspoke.decisions.fleet.members import Members
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
@@ -57,6 +58,9 @@
     :param report_changes: number of the last change of each guard's crash report.
     :param report_changed_at: time of that change.
     :param abandoned: runs that were cancelled a moment ago.
+    :param configured_at: time at which the first configuration was received.
+    :param stale_since: time at which it was logged that keys are refused; ``None``
+        while they are accepted.
     """
 
     members: Members = field(default_factory=Members)
@@ -77,6 +81,8 @@
     report_changes: dict[Address, int] = field(default_factory=dict)
     report_changed_at: dict[Address, float] = field(default_factory=dict)
     abandoned: deque[RunAbandoned] = field(default_factory=deque)
+    configured_at: float = 0.0
+    stale_since: float | None = None
 
 
 @final
@@ -90,6 +96,8 @@
     :param suspects: requests that were running at crashes.
     :param configuration_stream: stream of the log that holds the configuration.
     :param servers_stream: stream of the log that holds the states of backend servers.
+    :param confirmation: when the configuration in force was known to be the newest.
+    :param revocation_s: bound on the revocation of a key; ``None`` if there is none.
     """
 
     configuration: Latest[Configuration | None]
@@ -100,6 +108,10 @@
     trail: Mailbox[TrailMessage]
     configuration_stream: str
     servers_stream: str
+    confirmation: Latest[Confirmation] = field(
+        default_factory=lambda: Latest(Confirmation())
+    )
+    revocation_s: float | None = None
 
 
 @final
--- a/src/_masticspoke/fleet/knowledge/relay_messages.py
+++ b/src/_masticspoke/fleet/knowledge/relay_messages.py
@@ -46,6 +46,9 @@
     :param crash_reports: crash reports that have changed.
     :param log_age_s: time since the log last answered; ``None`` if it turns this node
         away or isn't read.
+    :param version: version of the configuration in force.
+    :param confirmed_age_s: time since that was known to be the newest version; ``None``
+        if it never was.
     """
 
     relay: int
@@ -54,6 +57,21 @@
     servers: tuple[BackendServer, ...]
     crash_reports: tuple[CrashReport, ...]
     log_age_s: float | None
+    version: int
+    confirmed_age_s: float | None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class VersionConfirmed:
+    """Log follower or relay follower to registry: no later version was acknowledged.
+
+    :param version: newest version that the answer showed.
+    :param at: every version that the log acknowledged before is at most that one.
+    """
+
+    version: int
+    at: float
 
 
 @final
--- a/src/_masticspoke/fleet/knowledge/relaying.py
+++ b/src/_masticspoke/fleet/knowledge/relaying.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 from typing import final
 
@@ -19,6 +20,7 @@
 from _masticspoke.border.follow import MAX_FOLLOW_BYTES
 from _masticspoke.decisions.fleet import relays
 from _masticspoke.decisions.fleet.relays import RelayState
+from _masticspoke.decisions.fleet.relays import Waits
 from _masticspoke.events import Event
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
@@ -29,6 +31,7 @@
 from _masticspoke.fleet.knowledge.relay_messages import RelayAnswered
 from _masticspoke.fleet.knowledge.relay_messages import RelayAsked
 from _masticspoke.fleet.knowledge.relay_messages import RelaySilent
+from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import RegistrySnapshot
@@ -69,6 +72,7 @@
 
     :param chooser: mailbox of :func:`relay_chooser`.
     :param peer_port: TCP port where each node accepts requests of other nodes.
+    :param clock: boot clock.
     """
 
     chooser: Mailbox[RelayMessage]
@@ -77,6 +81,8 @@
     dialect: Dialect
     peer_port: int
     stop: PlannedStop
+    waits: Waits
+    clock: Clock
 
 
 @final
@@ -172,7 +178,7 @@
                 answer = await _follow(port, host, request)
             if host is not None and answer is None:
                 port.chooser.tell(RelaySilent(host))
-            retries = answer is None or _is_behind(answer)
+            retries = answer is None or _is_behind(answer, port.waits)
             pause_s = _RETRY_PAUSE_S * random.uniform(0.5, 1.5)
             await life.stops_within(pause_s if retries else _NEXT_PAUSE_S)
             last = answer or last
@@ -180,9 +186,24 @@
     return run
 
 
-def _is_behind(answer: FollowAnswer) -> bool:
-    age_ms = answer.log_age_ms
-    return age_ms is None or age_ms / 1000 > relays.MAX_LOG_AGE_S
+def _is_behind(answer: FollowAnswer, waits: Waits) -> bool:
+    age_s = _usable_age_s(answer, waits)
+    return age_s is None or age_s > relays.MAX_LOG_AGE_S
+
+
+def _usable_age_s(answer: FollowAnswer, waits: Waits) -> float | None:
+    return relays.usable_age_s(
+        _seconds(answer.log_age_ms), _seconds(answer.confirmed_age_ms), waits
+    )
+
+
+def _seconds(time_ms: int | None) -> float | None:
+    return None if time_ms is None else time_ms / 1000
+
+
+def _milliseconds(time_s: float | None) -> int | None:
+    """Return a time in milliseconds, rounded up: an age is never understated."""
+    return None if time_s is None else ceil(time_s * 1000)
 
 
 async def _ask_snapshot(port: RelayPort) -> RegistrySnapshot | None:
@@ -203,13 +224,14 @@
     :return: ``None`` if it doesn't answer, or with news that can't be read here.
     """
     address = Address(host, port.peer_port)
+    sent_at = port.clock()
     exchange = port.connections.request(
         address,
         "POST",
         FOLLOW_PATH,
         {"Host": str(address)},
         encode_follow_request(request),
-        relays.MAX_HOLD_S + _ANSWER_MARGIN_S,
+        port.waits.max_hold_s + _ANSWER_MARGIN_S,
     )
     try:
         async with exchange as upstream:
@@ -219,8 +241,10 @@
         return None  # the chooser logs that the relay is silent
     if answer is None or not _send_to_registry(port, answer, f"relay {host}"):
         return None
-    age_ms = answer.log_age_ms
-    port.chooser.tell(RelayAnswered(host, None if age_ms is None else age_ms / 1000))
+    if answer.confirmed_age_ms is not None:
+        confirmed_at = sent_at - answer.confirmed_age_ms / 1000
+        port.registry.tell(VersionConfirmed(answer.version, confirmed_at))
+    port.chooser.tell(RelayAnswered(host, _usable_age_s(answer, port.waits)))
     return answer
 
 
@@ -241,6 +265,7 @@
 
 def follow_handler(port: RelayPort) -> Handler:
     """Return the handler of requests of nodes that follow this one."""
+    max_hold_s = port.waits.max_hold_s
 
     async def handle(request: Request) -> Response:
         asked = decode_follow_request(await request.body(MAX_FOLLOW_BYTES))
@@ -250,22 +275,23 @@
         news = await _ask_news(port, asked, hold=False)
         held_s = 0.0
         while news is not None and _may_hold(port, news, held_s):
-            hold_s = min(relays.hold_s(news.log_age_s), relays.MAX_HOLD_S - held_s)
+            hold_s = relays.hold_s(news.log_age_s, max_hold_s - held_s)
             held = await _ask_news(port, asked, hold=True, timeout_s=hold_s)
             news = held or await _ask_news(port, asked, hold=False)
-            held_s = relays.MAX_HOLD_S if held else held_s + hold_s
+            held_s = max_hold_s if held else held_s + hold_s
         if news is None:
             return Response(503)
         # A relay that is stopping is left as one that doesn't hear the log.
         age_s = None if port.stop.under_way else news.log_age_s
-        age_ms = None if age_s is None else int(age_s * 1000)
         answer = FollowAnswer(
             news.relay,
             news.change,
             news.raw,
             news.servers,
-            age_ms,
+            _milliseconds(age_s),
             news.crash_reports,
+            news.version,
+            _milliseconds(news.confirmed_age_s),
         )
         return Response(200, body=encode_follow_answer(answer))
 
@@ -274,7 +300,7 @@
 
 def _may_hold(port: RelayPort, news: News, held_s: float) -> bool:
     """Return whether the answer waits for news, or for the log's next answer."""
-    if news.raw or port.stop.under_way or held_s >= relays.MAX_HOLD_S:
+    if news.raw or port.stop.under_way or held_s >= port.waits.max_hold_s:
         return False
     age_s = news.log_age_s
     is_behind = age_s is None or age_s > relays.MAX_LOG_AGE_S
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -8,10 +8,11 @@
 from typing import final
 
 from _masticspoke.connections import Connections
+from _masticspoke.decisions.fleet.freshness import Confirmation
 from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.model import Configuration
-from _masticspoke.decisions.fleet.relays import READ_WAIT_S
 from _masticspoke.decisions.fleet.relays import RelayState
+from _masticspoke.decisions.fleet.relays import waits_within
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.dispatch.placer import new_placer_state
@@ -46,6 +47,7 @@
     """Mailboxes, state and connections that outlive the restart of a task.
 
     :param configuration: the configuration in force; ``None`` until one is received.
+    :param confirmation: when that configuration was known to be the newest.
     :param service: service of the backend server on this VM.
     :param tickets: source of unique tickets for the gate.
     :param parents: requests that run at the local backend server.
@@ -65,6 +67,7 @@
     stop: PlannedStop
     registry_state: RegistryState
     configuration: Latest[Configuration | None]
+    confirmation: Latest[Confirmation]
     service: Latest[str]
     guard_state: Latest[GuardState]
     tickets: count[int]
@@ -95,12 +98,14 @@
     guard_state: Latest[GuardState] = Latest(GuardState())
     gate: Mailbox[GateMessage] = Mailbox(_MAILBOX_CAPACITY)
     trail: Mailbox[TrailMessage] = Mailbox(_MAILBOX_CAPACITY)
+    waits = waits_within(settings.revocation_s)
     return FleetParts(
         settings=settings,
         dialect=dialect,
         stop=PlannedStop(settings.stop_timeout_s),
         registry_state=RegistryState(),
         configuration=Latest(None),
+        confirmation=Latest(Confirmation()),
         service=Latest(settings.service),
         guard_state=guard_state,
         tickets=count(),
@@ -119,9 +124,9 @@
         suspects=Latest(SuspectView()),
         trail=trail,
         relay_chooser=Mailbox(_MAILBOX_CAPACITY),
-        relay_state=RelayState(settings.nodes.host, settings.zone),
+        relay_state=RelayState(settings.nodes.host, settings.zone, waits=waits),
         reads_log=Switch(),
-        configuration_wait_s=Latest(READ_WAIT_S),
+        configuration_wait_s=Latest(waits.read_s),
         peer_connections=Connections(),
         node_connections=HttpPool(CONNECT_TIMEOUT_S),
         backend_connections=HttpPool(CONNECT_TIMEOUT_S, True, dialect.echo_header),
--- a/testing/decisions/fleet/test_relays.py
+++ b/testing/decisions/fleet/test_relays.py
@@ -5,13 +5,13 @@
 import pytest
 from testing.decisions.fleet.samples import server
 
+from _masticspoke.decisions.fleet.freshness import accepted_s
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.relays import choose_relay
 from _masticspoke.decisions.fleet.relays import DUTY_S
 from _masticspoke.decisions.fleet.relays import hold_s
 from _masticspoke.decisions.fleet.relays import is_relay
-from _masticspoke.decisions.fleet.relays import MAX_HOLD_S
 from _masticspoke.decisions.fleet.relays import MAX_LOG_AGE_S
 from _masticspoke.decisions.fleet.relays import MAX_USUAL_AGE_S
 from _masticspoke.decisions.fleet.relays import MIN_ZONE_NODES
@@ -23,6 +23,9 @@
 from _masticspoke.decisions.fleet.relays import RelayState
 from _masticspoke.decisions.fleet.relays import STATES_PAUSE_S
 from _masticspoke.decisions.fleet.relays import states_pause_s
+from _masticspoke.decisions.fleet.relays import UNBOUNDED_WAITS
+from _masticspoke.decisions.fleet.relays import usable_age_s
+from _masticspoke.decisions.fleet.relays import waits_within
 from _masticspoke.model import Address
 
 # The platform's tightest bound on a configuration, and the margins of a relay's answer
@@ -142,13 +145,16 @@
     """The log accepted it just after its last answer to the relay."""
     since_version_s = age_s
     while since_version_s <= MAX_LOG_AGE_S:
-        since_version_s += hold_s(since_version_s)
+        since_version_s += hold_s(since_version_s, UNBOUNDED_WAITS.max_hold_s)
 
     assert since_version_s + READ_S <= PROPAGATION_S
 
 
 def test_version_is_in_force_in_time_when_the_relay_falls_silent() -> None:
-    assert NEXT_PAUSE_S + MAX_HOLD_S + ANSWER_MARGIN_S + READ_S <= PROPAGATION_S
+    assert (
+        NEXT_PAUSE_S + UNBOUNDED_WAITS.max_hold_s + ANSWER_MARGIN_S + READ_S
+        <= PROPAGATION_S
+    )
 
 
 def test_node_that_others_will_ask_reads_the_log_as_a_relay_does() -> None:
@@ -168,3 +174,36 @@
     choose_relay(node, nodes, 0.0)
 
     assert states_pause_s(node, 0.0) == STATES_PAUSE_S[True]
+
+
+@pytest.mark.parametrize("revocation_s", [2.0, 5.0, 60.0])
+def test_confirmation_outlasts_the_failure_of_a_relay(revocation_s: float) -> None:
+    """Else a relay that stalls makes all nodes that follow it refuse keys.
+
+    The relay's age grows to its read wait and the time of a read, twice. The node's
+    query waits to the end, then one more gets no answer, then the log is read.
+    """
+    waits = waits_within(revocation_s)
+    relay_age_s = 2 * (waits.relay_read_s + READ_S)
+    query_s = waits.max_hold_s + READ_S + NEXT_PAUSE_S
+    usual_s = relay_age_s + 2 * query_s
+    silent_s = waits.max_hold_s + ANSWER_MARGIN_S + READ_S
+
+    if revocation_s >= 5.0:
+        assert usual_s <= 2.7
+        assert silent_s <= 1.4
+    assert relay_age_s + query_s + silent_s < accepted_s(revocation_s)
+
+
+@pytest.mark.parametrize(
+    ("confirmed_age_s", "usable"),
+    [(None, False), (0.9, True), (MAX_USUAL_AGE_S + 0.1, False)],
+)
+def test_relay_that_confirms_nothing_is_left_only_where_keys_need_it(
+    confirmed_age_s: float | None, usable: bool
+) -> None:
+    """One of an earlier build hears the log, but doesn't say how old its version is."""
+    bounded = usable_age_s(0.3, confirmed_age_s, waits_within(5.0))
+
+    assert bounded == (0.3 if usable else None)
+    assert usable_age_s(0.3, confirmed_age_s, UNBOUNDED_WAITS) == 0.3
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -4,13 +4,18 @@
 
 from testing.decisions.fleet.samples import server
 
+from _masticspoke.decisions.fleet.freshness import Confirmation
 from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.registry import registry
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.registry_state import RegistryPort
 from _masticspoke.fleet.knowledge.registry_state import RegistryState
+from _masticspoke.fleet.knowledge.relay_messages import AskNews
+from _masticspoke.fleet.knowledge.relay_messages import News
+from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.reporting.counts import TrailMessage
@@ -18,13 +23,15 @@
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.mailbox import Reply
 
 
 class RunningRegistry:
     """A registry's task and its mailboxes; ``now`` is its clock's time."""
 
-    def __init__(self) -> None:
+    def __init__(self, revocation_s: float | None = None) -> None:
         self.now = 0.0
+        self.confirmation = Latest(Confirmation())
         self.inbox: Mailbox[RegistryMessage] = Mailbox(100)
         self.trail: Mailbox[TrailMessage] = Mailbox(100)
         port = RegistryPort(
@@ -36,6 +43,8 @@
             self.trail,
             "keyed.op",
             "keyed.servers",
+            self.confirmation,
+            revocation_s,
         )
         body = registry(
             self.inbox, RegistryState(), port, server(1).address, lambda: self.now
@@ -115,3 +124,67 @@
         assert fields["version"] == 8
 
     asyncio.run(scenario())
+
+
+KEYS = {"k1": Organisation("north")}
+
+
+def test_lines_tell_once_that_keys_are_refused_and_accepted_again() -> None:
+    """Without the first line an operator sees refusals without a cause."""
+
+    async def scenario() -> None:
+        running = RunningRegistry(revocation_s=0.1)
+        await running.life.started()
+        configuration = Configuration(7, {}, organisations=KEYS)
+        running.inbox.tell(ConfigurationReceived(configuration, b"7", "log"))
+        running.inbox.tell(VersionConfirmed(7, 0.0))
+        running.inbox.tell(LogHealth("keyed.op", "no answer"))
+        assert not running.events(Event.KEYS_REFUSED)
+        running.now = 0.2
+        await asyncio.sleep(0.2)
+        running.inbox.tell(VersionConfirmed(7, 0.05))
+        await asyncio.sleep(0.05)
+        (fields,) = running.events(Event.KEYS_REFUSED)
+        assert fields["confirmed_age_ms"] == 200
+        assert fields["log_faults"] == {"keyed.op": "no answer"}
+        running.now = 0.5
+        running.inbox.tell(VersionConfirmed(7, 0.45))
+        running.inbox.tell(VersionConfirmed(7, 0.46))
+        (fields,) = running.events(Event.KEYS_ACCEPTED)
+        assert fields["stale_ms"] == 300
+        running.task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_lost_version_is_not_confirmed_by_the_message_after_it() -> None:
+    async def scenario() -> None:
+        running = RunningRegistry(revocation_s=5.0)
+        await running.life.started()
+        running.inbox.tell(ConfigurationReceived(Configuration(7, {}), b"7", "log"))
+        running.inbox.tell(VersionConfirmed(7, 1.0))
+        running.inbox.tell(VersionConfirmed(9, 2.0))
+        assert running.confirmation.value == Confirmation(7, 1.0)
+        running.inbox.tell(ConfigurationReceived(Configuration(9, {}), b"9", "peer"))
+        assert running.confirmation.value == Confirmation(7, 1.0)
+        running.inbox.tell(VersionConfirmed(9, 3.0))
+        assert running.confirmation.value == Confirmation(9, 3.0)
+        running.task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_relay_answers_with_its_version_and_the_age_of_its_confirmation() -> None:
+    async def scenario() -> None:
+        running = RunningRegistry(revocation_s=5.0)
+        await running.life.started()
+        running.inbox.tell(ConfigurationReceived(Configuration(7, {}), b"7", "log"))
+        running.inbox.tell(VersionConfirmed(7, 1.0))
+        running.now = 1.75
+        reply: Reply[News] = Reply()
+        running.inbox.tell(AskNews("keyed.op", 0, 0, 7, False, reply))
+        news = await reply.value()
+        assert (news.version, news.confirmed_age_s) == (7, 0.75)
+        running.task.cancel()
+
+    asyncio.run(scenario())
