Slowdown of a backend server: from its load header to the senders

A backend server whose VM is shared names the present slowdown as the fourth figure of its load header. The guard reads it with each answer, tells the gate when it changed by more than a tenth, and sends it on in Masticspoke-Load while it is not 1. Malformed headers give no value; others are limited to 0.25 to 20.

--- a/src/_masticspoke/border/hop.py
+++ b/src/_masticspoke/border/hop.py
@@ -5,14 +5,18 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import final
 from urllib.parse import quote
 from urllib.parse import unquote
 
+from _masticspoke.border.json_values import finite_number
 from _masticspoke.border.json_values import MALFORMED
 from _masticspoke.border.json_values import plain_text
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import Job
+from _masticspoke.decisions.fleet.model import MAX_SLOWDOWN
+from _masticspoke.decisions.fleet.model import MIN_SLOWDOWN
 from _masticspoke.decisions.fleet.model import NotRun
 
 JOB_HEADER = "Masticspoke-Job"
@@ -153,6 +157,29 @@
     )
 
 
+def encode_load(load: GuardLoad) -> str | None:
+    """Return the value of :data:`LOAD_HEADER`; ``None`` if it would say nothing."""
+    if load.slowdown == 1.0:
+        return None
+    return f'{{"v":1,"slowdown":{load.slowdown:.2f}}}'
+
+
+def decode_load(value: str | None, load: GuardLoad) -> GuardLoad:
+    """Return a load with what a header adds; unchanged if it is missing or malformed.
+
+    :param load: load in the :data:`GUARD_HEADER` of the same answer.
+    """
+    if value is None:
+        return load
+    try:
+        slowdown = finite_number(json.loads(value)["slowdown"])
+    except MALFORMED:
+        return load
+    if slowdown <= 0.0:
+        return load
+    return replace(load, slowdown=min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, slowdown)))
+
+
 def encode_run_query(request_id: str, asked_after_s: float) -> bytes:
     """Return the body of a query for the outcome of a request.
 
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -215,6 +215,11 @@
     QUARANTINED = "quarantined"
 
 
+# Bounds on the slowdown of a backend server that is believed.
+MIN_SLOWDOWN = 0.25
+MAX_SLOWDOWN = 20.0
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class BackendNotice:
--- a/src/_masticspoke/fleet/dispatch/sending.py
+++ b/src/_masticspoke/fleet/dispatch/sending.py
@@ -13,6 +13,7 @@
 from _masticspoke.border.backend_state import decode_state
 from _masticspoke.border.forwarding import forwarded_headers
 from _masticspoke.border.hop import decode_guard
+from _masticspoke.border.hop import decode_load
 from _masticspoke.border.hop import encode_job
 from _masticspoke.border.hop import encode_organisation
 from _masticspoke.border.hop import encode_run_query
@@ -20,6 +21,7 @@
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
 from _masticspoke.border.hop import LEAVING_HEADER
+from _masticspoke.border.hop import LOAD_HEADER
 from _masticspoke.border.hop import ORGANISATION_HEADER
 from _masticspoke.border.hop import RUN_QUERY_PATH
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -196,7 +198,7 @@
             ) as upstream:
                 guard = decode_guard(upstream.headers.get(GUARD_HEADER))
                 if guard is not None:
-                    attempt.load = guard.load
+                    attempt.load = _reported_load(guard, upstream)
                     attempt.result = await _read_result(
                         guard, upstream, attempt.forwarder
                     )
@@ -225,11 +227,15 @@
         if guard is None:
             attempt.result = Interrupted("the node did not answer as a guard")
             return
-        attempt.load = guard.load
+        attempt.load = _reported_load(guard, upstream)
         _report_leaving(attempt, upstream)
         attempt.result = await _read_result(guard, upstream, attempt.forwarder)
 
 
+def _reported_load(guard: GuardAnswer, upstream: UpstreamAnswer) -> GuardLoad:
+    return decode_load(upstream.headers.get(LOAD_HEADER), guard.load)
+
+
 def _report_leaving(attempt: _SendAttempt, upstream: UpstreamAnswer) -> None:
     """Tell the registry that the server is leaving, before its answer is passed on.
 
--- a/src/_masticspoke/fleet/entry/inbound.py
+++ b/src/_masticspoke/fleet/entry/inbound.py
@@ -22,10 +22,12 @@
 from _masticspoke.border.hop import decode_organisation
 from _masticspoke.border.hop import decode_run_query
 from _masticspoke.border.hop import encode_guard
+from _masticspoke.border.hop import encode_load
 from _masticspoke.border.hop import GUARD_HEADER
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
 from _masticspoke.border.hop import LEAVING_HEADER
+from _masticspoke.border.hop import LOAD_HEADER
 from _masticspoke.border.hop import ORGANISATION_HEADER
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.decisions.fleet.model import NotRun
@@ -107,7 +109,7 @@
         upstream: UpstreamAnswer, headers: CIMultiDict[str], start: bytes
     ) -> Streamed:
         headers[GUARD_HEADER] = encode_guard(_guard_answer(guard))
-        headers.update(_leaving_headers(guard))
+        headers.update(_state_headers(guard))
         return await forwarder.forward(upstream, headers, start)
 
     def on_start() -> None:
@@ -140,22 +142,26 @@
     if isinstance(result, Answer):
         headers = result.headers.copy()
         headers[GUARD_HEADER] = encode_guard(_guard_answer(guard, result))
-        headers.update(_leaving_headers(guard))
+        headers.update(_state_headers(guard))
         return Response(result.status, headers, result.body)
     guard_headers = {
         GUARD_HEADER: encode_guard(_guard_answer(guard, result)),
-        **_leaving_headers(guard),
+        **_state_headers(guard),
     }
     text = result.detail if isinstance(result, Interrupted) else ""
     return Response(503, guard_headers, text.encode())
 
 
-def _leaving_headers(guard: GuardPort) -> dict[str, str]:
-    """Return the header by which a sender learns that the server is leaving."""
-    server = guard.guard_state.value.server
-    if server is None or server.phase is Phase.READY:
-        return {}
-    return {LEAVING_HEADER: encode_state(server).decode()}
+def _state_headers(guard: GuardPort) -> dict[str, str]:
+    """Return headers for the sender: that the server is leaving, or is slowed down."""
+    headers = {}
+    state = guard.guard_state.value
+    if state.server is not None and state.server.phase is not Phase.READY:
+        headers[LEAVING_HEADER] = encode_state(state.server).decode()
+    load = encode_load(state.load)
+    if load is not None:
+        headers[LOAD_HEADER] = load
+    return headers
 
 
 def outcome_handler(port: InboundPort) -> Handler:
--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -74,6 +74,7 @@
     :param replies: pending replies to the waiting requests, by ticket.
     :param server: the local backend server; ``None`` until it is known.
     :param downstream_pressure_s: latest value that the placer reported.
+    :param slowdown: latest that the backend server named; ``None`` if it named none.
     :param stopping: whether the node is stopping, so that waiting and new
         requests are refused.
     """
@@ -85,6 +86,7 @@
     replies: dict[int, Reply[Verdict]] = field(default_factory=dict)
     server: BackendServer | None = None
     downstream_pressure_s: float = 0.0
+    slowdown: float | None = None
     stopping: bool = False
 
 
@@ -153,6 +155,7 @@
         state.queue.pace = Pace(PacePhase.UNCONFIRMED)
     elif previous is not None and _is_another_start(previous, message.server):
         state.queue.pace = Pace(PacePhase.FREE)
+        state.slowdown = None
     _publish(state, now)
     if state.stopping:
         return
@@ -175,6 +178,9 @@
 def _backend_answered(state: GateState, message: BackendAnswered, now: float) -> None:
     if state.server is None or state.server.instance != message.instance:
         return
+    if message.notice.slowdown is not None:
+        state.slowdown = message.notice.slowdown
+        _publish(state, now)
     pace = state.queue.pace
     before = pacing.rate(pace, now)
     limit = message.notice.rate_limit
@@ -257,10 +263,13 @@
         limit=limit,
         run_s=run_s,
         pressure_s=queueing.nested_wait_s(queue, now) + state.downstream_pressure_s,
+        slowdown=1.0 if state.slowdown is None else state.slowdown,
     )
     needs_answers = queue.pace.phase is not PacePhase.FREE
     rate = pacing.rate(queue.pace, now)
-    state.published.tell(GuardState(state.server, load, needs_answers, rate))
+    state.published.tell(
+        GuardState(state.server, load, needs_answers, rate, state.slowdown)
+    )
 
 
 def _wait_s(state: GateState, now: float) -> float | None:
--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -18,6 +18,7 @@
 from _masticspoke.decisions.fleet.lineage import record_run_end
 from _masticspoke.decisions.fleet.lineage import record_run_start
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
+from _masticspoke.decisions.fleet.model import BackendNotice
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import Job
@@ -66,6 +67,8 @@
 NO_REPLACED_HEADERS: frozenset[str] = frozenset()
 # Retry-After if the gate gives none.
 _DEFAULT_RETRY_S = 0.2
+# Change of the slowdown that the gate is not told, as a fraction of the one it knows.
+MAX_UNTOLD_CHANGE = 0.1
 # Lowest status that means a failure of the backend server.
 _MIN_FAILURE_STATUS = 500
 
@@ -311,7 +314,7 @@
         fields = {"instance": server.instance, "value": notice.unreadable}
         record = EventRecord(Event.RATE_LIMIT_UNREADABLE, fields, Importance.FAILURE)
         port.trail.tell(record)
-    elif notice.rate_limit is not None or port.guard_state.value.needs_answers:
+    elif _concerns_gate(port.guard_state.value, notice):
         port.gate.tell(BackendAnswered(server.instance, notice, sent_at))
     if notice.leaving and server.phase is Phase.READY:
         reply: Reply[bool] = Reply()
@@ -320,6 +323,19 @@
         )
 
 
+def _concerns_gate(state: GuardState, notice: BackendNotice) -> bool:
+    """Return whether a notice may change what the gate does.
+
+    The gate is told of a slowdown only when it has changed, since each answer names it.
+    """
+    if notice.rate_limit is not None or state.needs_answers:
+        return True
+    if notice.slowdown is None:
+        return False
+    known = state.slowdown
+    return known is None or abs(notice.slowdown - known) > MAX_UNTOLD_CHANGE * known
+
+
 async def _read_answer(
     upstream: UpstreamAnswer, stream_answer: StreamAnswer
 ) -> RunResult:
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -165,8 +165,8 @@
 class BackendAnswered:
     """Request task to gate: the local backend server has answered a request.
 
-    Sent while the gate paces requests or waits for a first answer, and with each answer
-    that names a limit.
+    Sent while the gate paces requests or waits for a first answer, with each answer
+    that names a limit, and when the slowdown that answers name has changed.
 
     :param notice: what the server says of itself; its limit is readable.
     :param sent_at: time at which the request was sent.
@@ -372,9 +372,11 @@
     :param needs_answers: whether the gate paces requests, or waits for a first answer
         before it knows whether it has to.
     :param rate_limit: requests a second that may start; ``None`` without a limit.
+    :param slowdown: latest that the backend server named; ``None`` if it named none.
     """
 
     server: BackendServer | None = None
     load: GuardLoad = field(default_factory=GuardLoad)
     needs_answers: bool = False
     rate_limit: float | None = None
+    slowdown: float | None = None
--- a/src/_masticspoke/platform/backend_headers.py
+++ b/src/_masticspoke/platform/backend_headers.py
@@ -4,13 +4,18 @@
 
 import re
 from collections.abc import Mapping
+from dataclasses import replace
+from functools import lru_cache
 
 from multidict import CIMultiDict
 from multidict import MultiMapping
 
 from _masticspoke.decisions.fleet.model import BackendNotice
 from _masticspoke.decisions.fleet.model import Job
+from _masticspoke.decisions.fleet.model import MAX_SLOWDOWN
+from _masticspoke.decisions.fleet.model import MIN_SLOWDOWN
 from _masticspoke.decisions.fleet.model import NotRun
+from _masticspoke.platform.names import BACKEND_LOAD
 from _masticspoke.platform.names import CALLER_SERVICE
 from _masticspoke.platform.names import DEADLINE_MS
 from _masticspoke.platform.names import EXPECTED_INSTANCE
@@ -26,6 +31,8 @@
 _MISDIRECTED = 421
 _IS_LEAVING = "1"
 _DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?", re.ASCII)
+# Four whole numbers; the last is the slowdown in percent.
+_LOAD = re.compile(r"(?:\d{1,9},[ \t]*){3}(\d{1,6})", re.ASCII)
 _NO_NOTICE = BackendNotice()
 
 
@@ -60,8 +67,11 @@
 
     The lowest of several limits holds. An answer of another instance says nothing.
     """
-    if status == _MISDIRECTED or (RATE_LIMIT not in headers and LEAVING not in headers):
+    if status == _MISDIRECTED:
         return _NO_NOTICE
+    notice = _load_notice(headers.get(BACKEND_LOAD))
+    if RATE_LIMIT not in headers and LEAVING not in headers:
+        return notice
     leaving = _IS_LEAVING in map(str.strip, headers.getall(LEAVING, []))
     texts = [
         text.strip()
@@ -70,8 +80,24 @@
     ]
     unreadable = [text for text in texts if not _DECIMAL.fullmatch(text)]
     if unreadable:
-        return BackendNotice(unreadable=unreadable[0] or "empty", leaving=leaving)
-    return BackendNotice(min(map(float, texts), default=None), leaving=leaving)
+        return replace(notice, unreadable=unreadable[0] or "empty", leaving=leaving)
+    rate_limit = min(map(float, texts), default=None)
+    return replace(notice, rate_limit=rate_limit, leaving=leaving)
+
+
+def _load_notice(load: str | None) -> BackendNotice:
+    """Return the slowdown in a load header; none if it is not four whole numbers."""
+    match = None if load is None else _LOAD.fullmatch(load.strip())
+    return _NO_NOTICE if match is None else _slowdown_notice(match[1])
+
+
+# Each answer of a backend server has a load header, and few slowdowns occur.
+@lru_cache(maxsize=256)
+def _slowdown_notice(percent: str) -> BackendNotice:
+    slowdown = int(percent) / 100
+    if slowdown == 0.0:
+        return _NO_NOTICE
+    return BackendNotice(slowdown=min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, slowdown)))
 
 
 def read_health(status: int, headers: Mapping[str, str]) -> str | None:
--- a/src/_masticspoke/platform/names.py
+++ b/src/_masticspoke/platform/names.py
@@ -24,6 +24,9 @@
 NOT_EXECUTED = "X-Not-Executed"
 RATE_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+# Requests that run and wait at the backend server, its slots, and how long work takes
+# on its VM now, in percent of the usual time: ``12,0,58,250``.
+BACKEND_LOAD = "X-Backend-Load"
 RETRY_AFTER = "Retry-After"
 
 # Removed from requests of callers; a guard sets them for its backend server.
--- a/testing/border/test_hop.py
+++ b/testing/border/test_hop.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testing.decisions.fleet.samples import job
@@ -9,9 +10,11 @@
 from _masticspoke.border.backend_state import encode_state
 from _masticspoke.border.hop import decode_guard
 from _masticspoke.border.hop import decode_job
+from _masticspoke.border.hop import decode_load
 from _masticspoke.border.hop import decode_run_query
 from _masticspoke.border.hop import encode_guard
 from _masticspoke.border.hop import encode_job
+from _masticspoke.border.hop import encode_load
 from _masticspoke.border.hop import encode_run_query
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.sync import decode_sync
@@ -56,6 +59,7 @@
     decode_job(text, 0.0)
     decode_guard(text)
     decode_run_query(text.encode())
+    assert decode_load(text, GuardLoad()) == GuardLoad()
     decode_state(text.encode())
     decode_sync(text.encode())
 
@@ -65,3 +69,29 @@
 
     for length in range(len(whole)):
         assert decode_job(whole[:length], 0.0) is None
+
+
+def test_load_header_is_sent_only_for_another_slowdown_than_1() -> None:
+    load = GuardLoad(3, 4, 5, slowdown=2.5)
+
+    assert encode_load(GuardLoad(3, 4, 5)) is None
+    assert decode_load(encode_load(load), GuardLoad(3, 4, 5)) == load
+
+
+@pytest.mark.parametrize(
+    ("header", "slowdown"),
+    [
+        (None, 1.0),
+        ('{"v":1}', 1.0),
+        ('{"v":1,"slowdown":-1}', 1.0),
+        ('{"v":1,"slowdown":1e999}', 1.0),
+        ('{"v":1,"slowdown":"x"}', 1.0),
+        ("[1]", 1.0),
+        ('{"v":2,"slowdown":2.0,"later":[1]}', 2.0),
+        ('{"v":1,"slowdown":1e9}', 20.0),
+    ],
+)
+def test_malformed_load_header_leaves_the_slowdown_unknown(
+    header: str | None, slowdown: float
+) -> None:
+    assert decode_load(header, GuardLoad()).slowdown == slowdown
--- a/testing/fleet/test_backend_notices.py
+++ b/testing/fleet/test_backend_notices.py
@@ -199,3 +199,21 @@
         assert (await fleet.ask(desk, "/read/1"))[0] == 200
 
     run_scenario(tmp_path, scenario)
+
+
+def test_sender_learns_the_slowdown_that_a_backend_server_names(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ)
+        entry = await fleet.add("board")
+        desk = await fleet.add("desk", slots=50)
+        await fleet.wait_until_synchronised()
+        stats = entry.parts.placer_state.placing.stats
+        for percent, slowdown in (("250", 2.5), ("100", 1.0)):
+            desk.backend.notice = {"X-Backend-Load": f"1,0,50,{percent}"}
+            for _ in range(3):
+                assert (await fleet.ask(entry, "/read/1"))[0] == 200
+            assert stats[desk.parts.settings.backend].load.slowdown == slowdown
+
+    run_scenario(tmp_path, scenario)
--- a/testing/platform/test_backend_headers.py
+++ b/testing/platform/test_backend_headers.py
@@ -5,9 +5,11 @@
 from testing.decisions.fleet.samples import job
 
 from _masticspoke.border.forwarding import forwarded_headers
+from _masticspoke.decisions.fleet.model import BackendNotice
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.platform.backend_headers import read_health
 from _masticspoke.platform.backend_headers import read_not_run
+from _masticspoke.platform.backend_headers import read_notice
 from _masticspoke.platform.backend_headers import set_backend_headers
 from _masticspoke.platform.names import REPLACED_HEADERS
 
@@ -70,3 +72,38 @@
     received = {"x-aPi-key": "secret", "X-TENANT": "north", "X-Other": "1"}
 
     assert dict(forwarded_headers(received, REPLACED_HEADERS)) == {"X-Other": "1"}
+
+
+@pytest.mark.parametrize(
+    ("load", "slowdown"),
+    [
+        ("3,0,58,250", 2.5),
+        ("3, 0, 58, 100", 1.0),
+        ("3,0,58,9", 0.25),
+        ("3,0,58,999999", 20.0),
+        ("3,0,58", None),
+        ("3,0,58,", None),
+        ("3,0,58,0", None),
+        ("3,0,58,-250", None),
+        ("3,0,58,2.5", None),
+        ("3,0,58,nan", None),
+        ("3,0,58,\u0662\u0665\u0660", None),
+        ("3,0,58,10000000", None),
+        ("3,0,x,250", None),
+        ("3,0,58,250,1", None),
+        ("", None),
+    ],
+)
+def test_slowdown_is_read_only_from_four_whole_numbers(
+    load: str, slowdown: float | None
+) -> None:
+    headers = CIMultiDict({"X-Backend-Load": load})
+
+    assert read_notice(200, headers).slowdown == slowdown
+
+
+def test_slowdown_comes_with_a_rate_limit_but_not_from_another_instance() -> None:
+    headers = CIMultiDict({"X-Backend-Load": "1,0,9,150", "Server-Limit": "7"})
+
+    assert read_notice(200, headers) == BackendNotice(rate_limit=7.0, slowdown=1.5)
+    assert read_notice(421, headers) == BackendNotice()
