Head of a call chain: limit concurrent runs by route while runs fail with nested calls

Cause: the head admitted by the reported pressure alone, with one threshold for all chains. A run with eight sequential calls and a timeout of 1.0 s bears far less wait at each call, so that at and above the capacity of the last service nearly no run succeeded.

Change: decisions/fleet/run_outcomes.py learns by route how many runs fail with a nested request that was refused or ran out of time while called services report pressure, and what part of their time left runs use. It limits concurrent runs of the route. Only successful runs now count as the usual time of a route.

--- /dev/null
+++ b/bench/chains/__init__.py
@@ -0,0 +1,1 @@
+"""A chain of calls whose last service is overloaded, in virtual time."""
--- a/src/_masticspoke/decisions/fleet/lineage.py
+++ b/src/_masticspoke/decisions/fleet/lineage.py
@@ -36,12 +36,17 @@
     :param retries: ids of requests with a run that is a retry.
     :param with_failed_call: ids of requests whose nested request failed.
     :param organisations: name of the organisation by request id, if there is one.
+    :param with_call: ids of requests that made a nested request.
+    :param with_lost_call: ids of requests whose nested request was refused or ran out
+        of time, or itself failed for such a request.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
     retries: set[str] = field(default_factory=set)
     with_failed_call: set[str] = field(default_factory=set)
     organisations: dict[str, str] = field(default_factory=dict)
+    with_call: set[str] = field(default_factory=set)
+    with_lost_call: set[str] = field(default_factory=set)
 
 
 def record_run_start(
@@ -70,6 +75,8 @@
         parents.retries.discard(request_id)
         parents.with_failed_call.discard(request_id)
         parents.organisations.pop(request_id, None)
+        parents.with_call.discard(request_id)
+        parents.with_lost_call.discard(request_id)
 
 
 def record_nested_failure(parents: Parents, request_id: str) -> None:
@@ -83,6 +90,23 @@
         parents.with_failed_call.add(parent)
 
 
+def record_nested_call(parents: Parents, request_id: str) -> None:
+    """Record that a run made a nested request with this id."""
+    parent = parent_id(request_id)
+    if parent in parents.runs:
+        parents.with_call.add(parent)
+
+
+def record_lost_call(parents: Parents, request_id: str) -> None:
+    """Record that a nested request was refused or ran out of time.
+
+    If its parent run fails too, its work was wasted for want of room further down.
+    """
+    parent = parent_id(request_id)
+    if parent in parents.runs:
+        parents.with_lost_call.add(parent)
+
+
 def parent_id(request_id: str) -> str:
     """Return the id of the run that makes a nested request with this id."""
     return request_id.rpartition(_SEPARATOR)[0]
--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -181,19 +181,23 @@
     return None
 
 
-def finish(queue: Queue, ticket: int, ran: bool, now: float) -> list[Verdict]:
+def finish(
+    queue: Queue, ticket: int, ran: bool, now: float, succeeded: bool = True
+) -> list[Verdict]:
     """Record the end of a run, and return the verdicts on waiting requests.
 
     If no run has this ticket, only the verdicts are returned.
 
     :param ran: whether the backend server answered, so that the run time counts.
+    :param succeeded: whether the run didn't fail with a nested request. Only then does
+        its time count as usual for its route: a run that failed ended early, or late.
     """
     ended = queue.running.pop(ticket, None)
     if ended is not None and not ended[0].nested:
         queue.running_top_level -= 1
     if ended is not None and ran:
         job, started = ended
-        _record_run_time(queue, job, now - started)
+        _record_run_time(queue, job, now - started, succeeded)
     return advance(queue, now)
 
 
@@ -375,9 +379,10 @@
     return Start(ticket)
 
 
-def _record_run_time(queue: Queue, job: Job, run_s: float) -> None:
-    smoothed_s = queue.run_s.get(job.route, run_s)
-    queue.run_s[job.route] = smoothed_s + NEWEST_RUN_WEIGHT * (run_s - smoothed_s)
+def _record_run_time(queue: Queue, job: Job, run_s: float, succeeded: bool) -> None:
+    if succeeded:
+        smoothed_s = queue.run_s.get(job.route, run_s)
+        queue.run_s[job.route] = smoothed_s + NEWEST_RUN_WEIGHT * (run_s - smoothed_s)
     queue.overall_run_s += NEWEST_RUN_WEIGHT * (run_s - queue.overall_run_s)
     if not job.nested:
         queue.top_level_run_s += NEWEST_RUN_WEIGHT * (run_s - queue.top_level_run_s)
--- a/src/_masticspoke/fleet/dispatch/front.py
+++ b/src/_masticspoke/fleet/dispatch/front.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from dataclasses import field
 from typing import final
@@ -14,6 +15,9 @@
 from _masticspoke.decisions.fleet.freshness import is_fresh
 from _masticspoke.decisions.fleet.lineage import Origin
 from _masticspoke.decisions.fleet.lineage import origin_of
+from _masticspoke.decisions.fleet.lineage import Parents
+from _masticspoke.decisions.fleet.lineage import record_lost_call
+from _masticspoke.decisions.fleet.lineage import record_nested_call
 from _masticspoke.decisions.fleet.lineage import record_nested_failure
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -164,14 +168,34 @@
         )
         return organisation
     progress.organisation = organisation
-    result = await _send_until_answered(port, incoming, progress, outgoing, forwarder)
-    if progress.nested and _fails_parent_run(result):
-        record_nested_failure(port.send.guard.parents, incoming.request_id)
+    parents = port.send.guard.parents
+    if progress.nested:
+        record_nested_call(parents, incoming.request_id)
+    try:
+        result = await _send_until_answered(
+            port, incoming, progress, outgoing, forwarder
+        )
+    except asyncio.CancelledError:
+        # The run that made the request no longer waits for it.
+        record_lost_call(parents, incoming.request_id)
+        raise
+    if progress.nested:
+        _record_nested_result(parents, incoming.request_id, result)
     version = configuration.version
     _log_result(port, incoming, version, progress, result, received_at)
     return result
 
 
+def _record_nested_result(parents: Parents, request_id: str, result: Result) -> None:
+    if _fails_parent_run(result):
+        record_nested_failure(parents, request_id)
+    # A failure of the called server itself says nothing about room.
+    if isinstance(result, Unanswered) or (
+        isinstance(result, Answer) and result.nested_call_failed
+    ):
+        record_lost_call(parents, request_id)
+
+
 def _fails_parent_run(result: Result) -> bool:
     if isinstance(result, Answer):
         return result.status >= _MIN_FAILURE_STATUS
--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -12,6 +12,7 @@
 
 from _masticspoke.decisions.fleet import pacing
 from _masticspoke.decisions.fleet import queueing
+from _masticspoke.decisions.fleet import run_outcomes
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import NotRun
@@ -21,6 +22,8 @@
 from _masticspoke.decisions.fleet.queueing import Queue
 from _masticspoke.decisions.fleet.queueing import Refuse
 from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.run_outcomes import RunOutcome
+from _masticspoke.decisions.fleet.run_outcomes import RunOutcomes
 from _masticspoke.decisions.fleet.throttle import adjust
 from _masticspoke.decisions.fleet.throttle import admits
 from _masticspoke.decisions.fleet.throttle import Throttle
@@ -71,6 +74,7 @@
 
     :param published: where the gate publishes the local backend server and its load.
     :param throttle: admitted fraction of the requests that are not nested, by rank.
+    :param outcomes: outcomes of the runs by route, which limit how many run at a time.
     :param replies: pending replies to the waiting requests, by ticket.
     :param server: the local backend server; ``None`` until it is known.
     :param downstream_pressure_s: latest value that the placer reported.
@@ -83,6 +87,7 @@
     trail: Mailbox[TrailMessage]
     queue: Queue = field(default_factory=Queue)
     throttle: Throttle = field(default_factory=Throttle)
+    outcomes: RunOutcomes = field(default_factory=RunOutcomes)
     replies: dict[int, Reply[Verdict]] = field(default_factory=dict)
     server: BackendServer | None = None
     downstream_pressure_s: float = 0.0
@@ -114,11 +119,16 @@
         refusal = Refuse(message.ticket, reason, queueing.MIN_RETRY_S)
         message.reply.answer(refusal)
         return
-    if not job.nested and not admits(state.throttle, job.rank, now):
+    if not job.nested and not (
+        run_outcomes.admits(state.outcomes, job, now)
+        and admits(state.throttle, job.rank, now)
+    ):
         refusal = Refuse(message.ticket, NotRun.PRESSURE, _PRESSURE_RETRY_S)
         message.reply.answer(refusal)
         return
     verdict = queueing.admit(state.queue, message.ticket, job, now)
+    if not isinstance(verdict, Refuse):
+        run_outcomes.record_admitted(state.outcomes, message.ticket, job, now)
     if verdict is None:
         state.replies[message.ticket] = message.reply
     else:
@@ -130,13 +140,18 @@
 
 
 def _run_ended(state: GateState, message: RunEnded, now: float) -> None:
+    ticket, outcome = message.ticket, message.outcome
+    _, started_at = state.queue.running.get(ticket, (None, now))
+    run_outcomes.record_end(state.outcomes, ticket, outcome, now - started_at, now)
+    succeeded = outcome is not RunOutcome.WASTED
     _send_verdicts(
-        state, queueing.finish(state.queue, message.ticket, message.answered, now)
+        state, queueing.finish(state.queue, ticket, message.answered, now, succeeded)
     )
     _publish(state, now)
 
 
 def _request_not_run(state: GateState, message: RequestNotRun, now: float) -> None:
+    run_outcomes.record_end(state.outcomes, message.ticket, RunOutcome.OTHER, 0.0, now)
     if state.replies.pop(message.ticket, None) is not None:
         queueing.remove_waiting(state.queue, message.ticket)
     _send_verdicts(
@@ -231,6 +246,7 @@
 ) -> None:
     state.downstream_pressure_s = message.pressure_s
     adjust(state.throttle, message.pressure_s, now)
+    run_outcomes.record_pressure(state.outcomes, message.pressure_s, now)
     _publish(state, now)
 
 
--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -26,6 +26,7 @@
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.queueing import Refuse
 from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.run_outcomes import RunOutcome
 from _masticspoke.events import Event
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.dispatch.forwarded_request import ForwardedRequest
@@ -199,6 +200,7 @@
     busy = Refuse(ticket, NotRun.BUSY, _DEFAULT_RETRY_S)
     answered = False
     admitted = False
+    outcome = RunOutcome.OTHER
     try:
         verdict = await ask_or(port.gate, Admit(ticket, job, reply), reply, busy)
         if isinstance(verdict, Refuse):
@@ -213,16 +215,31 @@
             nested_call_failed = job.request_id in port.parents.with_failed_call
             result = replace(result, nested_call_failed=nested_call_failed)
         answered = isinstance(result, Answer | Streamed)
+        outcome = _run_outcome(port.parents, job, result)
         _log_outcome(port, job, result)
         return result
     finally:
         if admitted:
             record_run_end(port.parents, job.request_id)
-            port.gate.tell(RunEnded(ticket, answered))
+            port.gate.tell(RunEnded(ticket, answered, outcome))
         else:
             port.gate.tell(RequestNotRun(ticket))
 
 
+def _run_outcome(parents: Parents, job: Job, result: RunResult) -> RunOutcome:
+    if isinstance(result, Streamed):
+        return RunOutcome.SUCCEEDED
+    if isinstance(result, Answer):
+        if result.status < _MIN_FAILURE_STATUS:
+            return RunOutcome.SUCCEEDED
+        wasted = job.request_id in parents.with_lost_call
+        return RunOutcome.WASTED if wasted else RunOutcome.OTHER
+    expired = isinstance(result, Interrupted) and result.expired
+    if expired and job.request_id in parents.with_call:
+        return RunOutcome.WASTED
+    return RunOutcome.OTHER
+
+
 async def _run_at_backend(
     port: GuardPort, job: Job, outgoing: ForwardedRequest, stream_answer: StreamAnswer
 ) -> RunResult:
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -19,6 +19,7 @@
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.model import Route
 from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.run_outcomes import RunOutcome
 from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.model import Address
 from _masticspoke.supervise.mailbox import Reply
@@ -118,10 +119,12 @@
     """Request task to gate: a run has ended.
 
     :param answered: whether the backend server answered, so that the run time counts.
+    :param outcome: whether it succeeded, or failed with a nested request.
     """
 
     ticket: int
     answered: bool
+    outcome: RunOutcome = RunOutcome.OTHER
 
 
 @final
