Invalid status codes of backend servers break the connection at once

Cause: at the platform's path everything below 200 counted as interim, so the caller waited to its deadline; in the product's front end status 000 or 600 reached the client, and so did an unrequested 101. There, an answer in a later segment than an interim one was taken for stray data, and interim answers without end surfaced as an internal error, as aiohttp's handler forgets its error at an abort.

Change: one rule (decisions/statuses.py) in both client connections. The outcome is unknown: a repeatable request is sent elsewhere, another gets 502.

--- a/src/_masticspoke/connections.py
+++ b/src/_masticspoke/connections.py
@@ -15,6 +15,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from _masticspoke.decisions.statuses import is_interim
+from _masticspoke.decisions.statuses import is_invalid
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 
@@ -54,7 +56,8 @@
 class CheckedHandler(ResponseHandler):
     """A client connection that aborts on data that belongs to no request.
 
-    It also aborts on a head without end, and on heads without end before an answer.
+    It also aborts on a head without end, on heads without end before an answer, and on
+    a status that no answer has.
 
     :param is_last: returns whether the connection is closed after an answer.
     """
@@ -75,7 +78,7 @@
     async def read(self) -> Any:
         """Read the head and body of the answer."""
         answer = await super().read()
-        self._awaits_head = False
+        self._awaits_head = is_interim(answer[0].code)
         return answer
 
     def data_received(self, data: bytes) -> None:
@@ -90,13 +93,24 @@
             (self._heads == 0 and self._head_bytes > MAX_HEAD_BYTES)
             or self._heads > MAX_EARLIER_HEADS
         ):
-            self.set_exception(aiohttp.ClientPayloadError("the head has no end"))
-            self.abort()
+            self._reject("the head has no end")
+
+    def _reject(self, reason: str) -> None:
+        """Abort the connection; whoever waits for the answer gets an error.
+
+        aiohttp's handler forgets at its abort the error that it had, and a reader that
+        comes later would get the end of the stream.
+        """
+        self.abort()
+        self.set_exception(aiohttp.ClientPayloadError(reason))
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Pass on a head that has arrived whole."""
         self._heads += 1
         head, _ = data
+        if is_invalid(head.code):
+            self._reject(f"invalid status {head.code}")
+            return
         if self._is_last(head.code, head.headers):
             self.force_close()
         super().feed_data(data, size)
--- a/src/_masticspoke/http_connection.py
+++ b/src/_masticspoke/http_connection.py
@@ -1,7 +1,8 @@
 """One client connection of a pool: sends requests in turn and parses their answers.
 
 It is built on aiohttp's parser, which it keeps for all answers of the connection. Bytes
-that belong to no request abort it, as do a head without end and heads without end.
+that belong to no request abort it, as do a head without end, heads without end, and a
+status that no answer has.
 """
 
 from __future__ import annotations
@@ -27,6 +28,8 @@
 from _masticspoke.connections import MAX_HEAD_BYTES
 from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.connections import READ_BUFFER_BYTES
+from _masticspoke.decisions.statuses import is_interim
+from _masticspoke.decisions.statuses import is_invalid
 
 # Answers with these statuses never have a body.
 _BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
@@ -138,7 +141,7 @@
             if not self._answers:
                 await self._wait_for_answer()
             head, body = self._answers.popleft()
-            if head.code >= HTTPStatus.OK and self._matches_echo(head):
+            if not is_interim(head.code) and self._matches_echo(head):
                 self._awaits_head = False
                 return head, body
             while await body.readany():
@@ -176,6 +179,9 @@
             self._fail(ClientPayloadError(f"malformed answer: {error!r}"))
             return
         for head, body in answers:
+            if is_invalid(head.code):
+                self._fail(ClientPayloadError(f"invalid status {head.code}"))
+                return
             self._add_answer(head, body)
         if upgraded:
             self._closes = True
--- a/testing/standins/platform_backend.py
+++ b/testing/standins/platform_backend.py
@@ -364,7 +364,51 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def with_status(status: str) -> MakeAnswer:
+    """Return an answer with a status line of its own, on a connection left open."""
+
+    async def answer(
+        backend: PlatformBackend, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        head = _ok_head(backend, request_id, "Content-Length: 2\r\n\r\n")
+        return await _stalled(request, head.replace(b"200 OK", status.encode()) + b"ok")
+
+    return answer
+
+
+async def slow_interim_answers(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    """Send an interim answer every 5 ms until the caller closes the connection."""
+    transport = request.transport
+    assert transport is not None
+    while not transport.is_closing():
+        transport.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+        backend.endless_bytes += 1
+        await asyncio.sleep(0.005)
+    return web.Response()
+
+
+async def interim_then_whole(
+    backend: PlatformBackend, request: web.BaseRequest, request_id: str
+) -> web.StreamResponse:
+    assert request.transport is not None
+    request.transport.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+    await asyncio.sleep(0.02)
+    return await whole(backend, request, request_id)
+
+
+INVALID_STATUSES = (
+    "000 Odd",
+    "099 Odd",
+    "600 Odd",
+    "999 Odd",
+    "101 Switching Protocols",
+)
 FAULTS: dict[str, MakeAnswer] = {
+    **{f"status-{status[:3]}": with_status(status) for status in INVALID_STATUSES},
+    "slow-interim": slow_interim_answers,
+    "interim": interim_then_whole,
     "long": long,
     "failing": failing,
     "reset": reset,
