Uploads: a memory budget for the bodies of all requests of a node

Cause: any number of uploads was read at once, whatever memory the process has.

A body of known length is counted whole before a byte of it is read, one in chunks while it arrives, both until the request is answered. Beyond: 503 with reason no-body-memory at the entry, 'busy, not run' between nodes. 100 Continue is sent once the body is accepted. Without the setting nothing changes.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -322,7 +322,9 @@
         sweep_interval_s: float = _INTERNAL_SWEEP_INTERVAL_S,
         concurrent: Concurrent | None = None,
     ) -> ChildSpec:
-        server = HttpServer(handler, limits, lambda: parts.stop.under_way, concurrent)
+        server = HttpServer(
+            handler, limits, lambda: parts.stop.under_way, concurrent, parts.bodies
+        )
         body = http_listener(
             address,
             server,
--- a/src/_masticspoke/fleet/dispatch/front.py
+++ b/src/_masticspoke/fleet/dispatch/front.py
@@ -58,6 +58,9 @@
 MAX_DECLINED = 3
 # Retry-After if no guard gave one for overload: about the time of a restart.
 _DEFAULT_RETRY_S = 1.0
+# Retry-After of a request for whose body there is no memory: bodies are held for about
+# as long as the runs of uploads take.
+_NO_MEMORY_RETRY_S = 0.5
 # Lowest status that means a failure of the backend server.
 _MIN_FAILURE_STATUS = 500
 # Reasons of refusals under load. The guard then knows when a retry makes sense, so
@@ -196,6 +199,17 @@
         record_lost_call(parents, request_id)
 
 
+def refuse_unread(
+    port: FrontPort, incoming: IncomingRequest, received_at: float
+) -> Unanswered:
+    """Log and return the refusal of a request for whose body there is no memory."""
+    refused = Unanswered(Outcome.REFUSED, "no-body-memory", _NO_MEMORY_RETRY_S)
+    configuration = port.configuration.value
+    version = 0 if configuration is None else configuration.version
+    _log_result(port, incoming, version, None, refused, received_at)
+    return refused
+
+
 def _fails_parent_run(result: Result) -> bool:
     if isinstance(result, Answer):
         return result.status >= _MIN_FAILURE_STATUS
--- a/src/_masticspoke/fleet/entry/inbound.py
+++ b/src/_masticspoke/fleet/entry/inbound.py
@@ -49,6 +49,7 @@
 from _masticspoke.fleet.guard.run_recorder import SenderLeft
 from _masticspoke.http_pool import UpstreamAnswer
 from _masticspoke.http_server import Handler
+from _masticspoke.http_server import NoBodyMemoryError
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
 from _masticspoke.http_server import Streamed
@@ -61,6 +62,8 @@
 MAX_BODY_BYTES = 67_108_864
 _MAX_QUERY_BYTES = 4_096
 _WILL_NOT_RUN = Declined(NotRun.UNREACHABLE, 0.0)
+# Bodies of uploads are held for about as long as their runs take.
+_NO_MEMORY = Declined(NotRun.BUSY, 0.5)
 
 
 @final
@@ -97,11 +100,15 @@
     organisation = decode_organisation(request.headers.get(ORGANISATION_HEADER))
     if organisation:
         job = replace(job, organisation=organisation)
+    try:
+        body = await request.body(MAX_BODY_BYTES)
+    except NoBodyMemoryError:
+        return _response(guard, _NO_MEMORY)
     outgoing = ForwardedRequest(
         request.method,
         request.target,
         forwarded_headers(request.headers, NO_REPLACED_HEADERS),
-        await request.body(MAX_BODY_BYTES),
+        body,
     )
     forwarder = AnswerForwarder(request)
 
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -8,6 +8,8 @@
 from typing import final
 
 from _masticspoke.connections import Connections
+from _masticspoke.decisions.fleet.body_memory import body_limit_bytes
+from _masticspoke.decisions.fleet.body_memory import BodyMemory
 from _masticspoke.decisions.fleet.freshness import Confirmation
 from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.model import Configuration
@@ -56,6 +58,7 @@
     :param suspects: requests that were running at crashes.
     :param reads_log: on while this node reads the log itself.
     :param configuration_wait_s: how long its reads of the configuration wait, seconds.
+    :param bodies: memory for the bodies of requests.
     :param peer_connections: connections to other nodes for exchanges of states.
     :param node_connections: connections to the guards of other nodes.
     :param backend_connections: connections to the local backend server.
@@ -87,6 +90,7 @@
     relay_state: RelayState
     reads_log: Switch
     configuration_wait_s: Latest[float]
+    bodies: BodyMemory
     peer_connections: Connections
     node_connections: HttpPool
     backend_connections: HttpPool
@@ -127,6 +131,11 @@
         relay_state=RelayState(settings.nodes.host, settings.zone, waits=waits),
         reads_log=Switch(),
         configuration_wait_s=Latest(waits.read_s),
+        bodies=BodyMemory(
+            None
+            if settings.memory_limit_bytes is None
+            else body_limit_bytes(settings.memory_limit_bytes)
+        ),
         peer_connections=Connections(),
         node_connections=HttpPool(CONNECT_TIMEOUT_S),
         backend_connections=HttpPool(CONNECT_TIMEOUT_S, True, dialect.echo_header),
--- a/src/_masticspoke/fleet/settings.py
+++ b/src/_masticspoke/fleet/settings.py
@@ -32,6 +32,7 @@
     :param stop_timeout_s: longest time of a planned stop.
     :param revocation_s: time after which a key that was taken away is refused at every
         node, in touch with the log or not; ``None`` if there is no such bound.
+    :param memory_limit_bytes: memory that the process may use; ``None`` if unknown.
     :param quota: bound on the requests of one organisation at all nodes together.
     """
 
@@ -50,3 +51,4 @@
     stop_timeout_s: float
     revocation_s: float | None = None
     quota: QuotaBounds = field(default_factory=QuotaBounds)
+    memory_limit_bytes: float | None = None
--- a/src/_masticspoke/http_messages.py
+++ b/src/_masticspoke/http_messages.py
@@ -33,6 +33,11 @@
     """The body of a request is malformed, so it can't be read to its end."""
 
 
+@final
+class NoBodyMemoryError(Exception):
+    """The node has no memory left for the body of a request."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Response:
@@ -84,21 +89,32 @@
         When the client disconnects before the end, the handler is cancelled.
 
         :raises BodyTooLongError: when it is longer than ``max_bytes``.
+        :raises NoBodyMemoryError: when the bodies of the node's requests fill their
+            memory; a body of known length has not been read then.
         :raises IncompleteBodyError: when it is malformed.
         """
         if self.content is EMPTY_PAYLOAD:
             return b""
         length = self.headers.get("Content-Length")
-        if length is not None and int(length) > max_bytes:
-            raise BodyTooLongError
-        body = bytearray()
+        if length is not None:
+            if int(length) > max_bytes:
+                raise BodyTooLongError
+            self.exchange.hold_body(int(length))
+        if "Expect" in self.headers:
+            self.connection.send_continue()
         try:
-            while chunk := await self.content.readany():
-                body += chunk
-                if len(body) > max_bytes:
-                    raise BodyTooLongError
+            return await self._read_body(max_bytes, is_held=length is not None)
         except (HttpProcessingError, ClientPayloadError) as error:
             raise IncompleteBodyError from error
+
+    async def _read_body(self, max_bytes: int, *, is_held: bool) -> bytes:
+        body = bytearray()
+        while chunk := await self.content.readany():
+            body += chunk
+            if len(body) > max_bytes:
+                raise BodyTooLongError
+            if not is_held:
+                self.exchange.hold_body(len(chunk))
         return bytes(body)
 
     async def stream(
--- a/src/_masticspoke/http_pipeline.py
+++ b/src/_masticspoke/http_pipeline.py
@@ -17,9 +17,13 @@
 from aiohttp import StreamReader
 from aiohttp.http_parser import RawRequestMessage
 
+from _masticspoke.decisions.fleet.body_memory import BodyMemory
+from _masticspoke.decisions.fleet.body_memory import hold
+from _masticspoke.decisions.fleet.body_memory import release
 from _masticspoke.decisions.fleet.pipelining import AheadCounts
 from _masticspoke.decisions.fleet.pipelining import may_start_ahead
 from _masticspoke.http_messages import Concurrent
+from _masticspoke.http_messages import NoBodyMemoryError
 from _masticspoke.http_messages import Response
 from _masticspoke.http_messages import Streamed
 from _masticspoke.in_flight import InFlight
@@ -32,6 +36,8 @@
 class Exchange:
     """A request that a connection received, and its answer.
 
+    :param bodies: memory for the bodies of all requests.
+    :param body_bytes: bytes of it that the request's body holds.
     :param task: runs the handler of a request that was started before its turn.
     :param is_in_turn: whether all requests in front of it have been answered.
     :param answer_begun: whether a part of the answer has been written.
@@ -40,10 +46,12 @@
 
     head: RawRequestMessage
     content: StreamReader
+    bodies: BodyMemory
     task: asyncio.Task[Response | Streamed] | None = None
     is_in_turn: bool = False
     answer_begun: bool = False
     waiting_bytes: int = 0
+    body_bytes: int = 0
     _turn: asyncio.Future[None] | None = None
     _concurrent: bool | None = None
 
@@ -61,6 +69,21 @@
             self._concurrent = concurrent(self.head)
         return self._concurrent
 
+    def hold_body(self, count: int) -> None:
+        """Count bytes of the body before they are read.
+
+        :raises NoBodyMemoryError: when there is no memory for them.
+        """
+        if not hold(self.bodies, count):
+            raise NoBodyMemoryError
+        self.body_bytes += count
+
+    def release_body(self) -> None:
+        """Record that the body is no longer needed."""
+        if self.body_bytes:
+            release(self.bodies, self.body_bytes)
+            self.body_bytes = 0
+
     def begin_turn(self) -> None:
         """Allow the answer to be written."""
         self.is_in_turn = True
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -11,17 +11,27 @@
 from collections.abc import Callable
 from typing import final
 
+from _masticspoke.decisions.fleet.body_memory import BodyMemory
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.decisions.fleet.pipelining import AheadCounts
 from _masticspoke.http_messages import Concurrent
 from _masticspoke.http_messages import Handler
+from _masticspoke.http_messages import NoBodyMemoryError
 from _masticspoke.http_messages import Request
 from _masticspoke.http_messages import Response
 from _masticspoke.http_messages import Streamed
 from _masticspoke.http_server_connection import ServerConnection
 from _masticspoke.in_flight import InFlight
 
-__all__ = ["Concurrent", "Handler", "HttpServer", "Request", "Response", "Streamed"]
+__all__ = [
+    "Concurrent",
+    "Handler",
+    "HttpServer",
+    "NoBodyMemoryError",
+    "Request",
+    "Response",
+    "Streamed",
+]
 
 
 @final
@@ -33,6 +43,8 @@
     :param draining: returns whether each answer closes its connection.
     :param concurrent: returns whether a request may run at the same time as others of
         its connection; ``None`` to serve one request at a time.
+    :param bodies: memory for the bodies of requests, shared with other listeners;
+        ``None`` for no bound on all of them together.
     """
 
     def __init__(
@@ -41,12 +53,14 @@
         limits: Callable[[], Limits],
         draining: Callable[[], bool],
         concurrent: Concurrent | None = None,
+        bodies: BodyMemory | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._is_draining = draining
         self._concurrent = concurrent
         self._ahead = AheadCounts()
+        self._bodies = BodyMemory() if bodies is None else bodies
         self._connections: set[ServerConnection] = set()
         self._in_flight = InFlight()
         self._open_connections = InFlight()
@@ -81,6 +95,11 @@
         """Requests that were started before their turn."""
         return self._ahead
 
+    @property
+    def bodies(self) -> BodyMemory:
+        """Memory for the bodies of requests."""
+        return self._bodies
+
     def __call__(self) -> ServerConnection:
         """Return the protocol of a new connection."""
         return ServerConnection(self, self._handler)
--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -27,6 +27,7 @@
 from _masticspoke.http_messages import BodyTooLongError
 from _masticspoke.http_messages import Handler
 from _masticspoke.http_messages import IncompleteBodyError
+from _masticspoke.http_messages import NoBodyMemoryError
 from _masticspoke.http_messages import Request
 from _masticspoke.http_messages import Response
 from _masticspoke.http_messages import Streamed
@@ -52,6 +53,11 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 _CHUNKED = ("Transfer-Encoding", "chunked")
 _HEAD_END = b"\r\n\r\n"
+_RESPONSE_BY_ERROR: Mapping[type[Exception], Response] = {
+    BodyTooLongError: Response(413),
+    NoBodyMemoryError: Response(503),
+    IncompleteBodyError: Response(400, body=b"the body did not arrive whole\n"),
+}
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -174,7 +180,7 @@
             part = data if end - start == length else data[start:end]
             messages, self._stopped_parsing, _ = self._request_parser.feed_data(part)
             for head, content in messages:
-                self._pipeline.append(Exchange(head, content))
+                self._pipeline.append(Exchange(head, content, self._server.bodies))
                 self._last_content = content
             if end == length:
                 return
@@ -295,8 +301,6 @@
 
     async def _respond(self, exchange: Exchange) -> Response | Streamed:
         head = exchange.head
-        if "Expect" in head.headers and self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self._received_bytes > _UNMEASURED_HEAD_BYTES:
             limit = self._server.limits.header_bytes
             if sum(len(name) + len(value) for name, value in head.raw_headers) > limit:
@@ -306,16 +310,21 @@
         )
         try:
             return await self._handler(request)
-        except BodyTooLongError:
-            return Response(413)
-        except IncompleteBodyError:
-            return Response(400, body=b"the body did not arrive whole\n")
+        except (BodyTooLongError, NoBodyMemoryError, IncompleteBodyError) as error:
+            return _RESPONSE_BY_ERROR[type(error)]
         except ConnectionError:
             raise
         except Exception as error:
             log_event(Event.HANDLER_CRASHED, error=repr(error))
             logger.opt(exception=error).debug("handler crashed")
             return Response(500)
+        finally:
+            exchange.release_body()
+
+    def send_continue(self) -> None:
+        """Tell a client that asks first that the body may be sent."""
+        if self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     async def _read_rest(self, content: StreamReader) -> None:
         with contextlib.suppress(TimeoutError, HttpProcessingError, ConnectionError):
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -12,6 +12,7 @@
 from _masticspoke.decisions.fleet.routing import find_route
 from _masticspoke.fleet.dispatch.forwarded_request import ForwardedRequest
 from _masticspoke.fleet.dispatch.front import FrontPort
+from _masticspoke.fleet.dispatch.front import refuse_unread
 from _masticspoke.fleet.dispatch.front import serve_request
 from _masticspoke.fleet.dispatch.incoming import IncomingRequest
 from _masticspoke.fleet.dispatch.incoming import Outcome
@@ -19,6 +20,7 @@
 from _masticspoke.fleet.dispatch.sending import AnswerForwarder
 from _masticspoke.http_server import Concurrent
 from _masticspoke.http_server import Handler
+from _masticspoke.http_server import NoBodyMemoryError
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
 from _masticspoke.http_server import Streamed
@@ -52,7 +54,11 @@
         if not target.startswith("/"):
             return Response(400, body=b"the target must be a path\n")
         limits = limits_of(port.configuration.value)
-        body = await request.body(limits.body_bytes)
+        try:
+            body = await request.body(limits.body_bytes)
+        except NoBodyMemoryError:
+            refused = refuse_unread(port, _incoming_request(request), received_at)
+            return _unanswered_response(refused)
         outgoing = ForwardedRequest(
             request.method,
             target,
--- a/src/_masticspoke/platform/settings.py
+++ b/src/_masticspoke/platform/settings.py
@@ -24,6 +24,7 @@
 # Time at the end of the grace period that is reserved for closing connections.
 _CLOSING_RESERVE_S = 0.8
 _DEFAULT_GRACE_S = 6.0
+_BYTES_PER_MB = 1_048_576
 _TRUTH = {"true": 1, "false": 0}
 
 
@@ -54,6 +55,7 @@
             - _CLOSING_RESERVE_S,
             revocation_s=_revocation_s(bounds),
             quota=_quota(bounds),
+            memory_limit_bytes=_memory_limit_bytes(parser),
         )
     except (OSError, Error, KeyError, ValueError) as error:
         raise SettingsError(f"settings {path}: {error!r}", _REMEDY) from None
@@ -91,6 +93,14 @@
     return bounds
 
 
+def _memory_limit_bytes(parser: ConfigParser) -> float | None:
+    """Return the limit; the platform leaves the field empty where there is none."""
+    text = parser.get("limits", "memory_mb", fallback="").strip()
+    if not text.isdigit() or int(text) == 0:
+        return None
+    return int(text) * _BYTES_PER_MB
+
+
 def _revocation_s(bounds: Mapping[str, float]) -> float | None:
     if not bounds.get("revoke_partitioned") or "revocation_ms" not in bounds:
         return None
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -24,6 +24,7 @@
     "internal_port_range.0": "7620",
     "seed_nodes": "10.1.0.9:8306,10.1.0.10:8306",
     "platform.address": "10.200.1.7:8309",
+    "limits.memory_limit_mb": "256",
     "contract_bounds": "grace_period_s=6,retry_budget_extra=49,ack_binds=true",
 }
 
@@ -44,6 +45,13 @@
     assert settings.budget.extra == 49
     assert settings.budget.ratio == 0.2
     assert settings.stop_timeout_s == pytest.approx(5.2)
+    assert settings.memory_limit_bytes == 256 * 2**20
+
+
+@pytest.mark.parametrize("text", ["", "0", "null", "{{limits.memory_limit_mb}}"])
+def test_memory_limit_that_is_no_number_is_none(tmp_path: Path, text: str) -> None:
+    path = write_settings(tmp_path, **{"limits.memory_limit_mb": text})
+    assert load_fleet_settings(path).memory_limit_bytes is None
 
 
 def test_bounds_may_be_a_json_object(tmp_path: Path) -> None:
