Queue of a backend server: serve organisations of one rank in turn

Cause: a lane was a FIFO queue, so an organisation that sends ten times its share had nearly five shares served and left the others 0.57 each.

--- a/src/_masticspoke/decisions/fleet/nested_reserve.py
+++ b/src/_masticspoke/decisions/fleet/nested_reserve.py
@@ -50,6 +50,8 @@
 
 def reserved_slots(reserve: Reserve, limit: int, now: float) -> int:
     """Return how many of the slots top-level requests leave free."""
+    if not reserve.slots_needed:
+        return 0
     needed = reserve.slots_needed * _decay(reserve, now)
     reserved = round(needed + RESERVE_DEVIATIONS * sqrt(needed))
     return min(reserved, int(limit * MAX_RESERVED_FRACTION))
--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -141,7 +141,8 @@
     slack_s = _time_left_s(job, now) - usual_run_s
     if wait_s > slack_s * _max_wait_fraction(job):
         return Refuse(ticket, NotRun.BUSY, _retry_s(wait_s))
-    waiting_lanes.enqueue(queue.lanes, ticket, job, now + slack_s * MAX_WAIT_FRACTION)
+    expires_at = now + slack_s * MAX_WAIT_FRACTION
+    waiting_lanes.enqueue(queue.lanes, ticket, job, expires_at, usual_run_s)
     return None
 
 
@@ -175,7 +176,8 @@
     verdicts += _refusals(
         waiting_lanes.remove_expired(queue.lanes, now), NotRun.BUSY, retry_s
     )
-    while len(queue.running) < queue.limit and pacing.may_start(
+    limit = queue.limit
+    while len(queue.running) < limit and pacing.may_start(
         queue.pace, len(queue.running), now
     ):
         room = _has_top_level_room(queue, now)
