--- a/src/_masticspoke/decisions/fleet/run_outcomes.py
+++ b/src/_masticspoke/decisions/fleet/run_outcomes.py
@@ -19,6 +19,7 @@
 from math import exp
 from typing import final
 
+from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.model import Job
 
 # Fraction of the runs of a route that may fail with their nested requests.
@@ -118,16 +119,35 @@
 class RunOutcomes:
     """Outcomes of the runs at one backend server, by route.
 
+    :param limited: those of them that have a limit.
     :param admitted: requests that run or wait for a slot, by ticket.
     :param pressure_s: pressure that called services reported at ``reported_at``.
     """
 
     routes: dict[str, RouteOutcomes] = field(default_factory=dict)
+    limited: dict[str, RouteOutcomes] = field(default_factory=dict)
     admitted: dict[int, Job] = field(default_factory=dict)
     pressure_s: float = 0.0
     reported_at: float = 0.0
 
 
+def outcome_of(
+    parents: Parents, request_id: str, succeeded: bool, answered: bool, expired: bool
+) -> RunOutcome:
+    """Return how a run ended, as far as its nested requests are concerned.
+
+    :param answered: whether the backend server answered.
+    :param expired: whether the deadline passed.
+    """
+    if succeeded:
+        return RunOutcome.SUCCEEDED
+    if (answered and request_id in parents.with_lost_call) or (
+        expired and request_id in parents.with_call
+    ):
+        return RunOutcome.WASTED
+    return RunOutcome.OTHER
+
+
 def record_pressure(outcomes: RunOutcomes, pressure_s: float, now: float) -> None:
     """Record the highest mean pressure among the services that were called recently."""
     outcomes.pressure_s = pressure_s
@@ -141,6 +161,7 @@
         return True
     if now - route.wasted_at > LIMIT_TTL_S:
         route.limit = None
+        outcomes.limited.pop(job.route, None)
         return True
     if not _has_room(route, route.limit, now):
         route.refused_at = now
@@ -215,7 +236,7 @@
         route.wasted_total += 1
         route.wasted_at = now
         _record_used(route, 1.0)
-        _decrease(outcomes, route, running, now)
+        _decrease(outcomes, job.route, running, now)
     else:
         return
     _follow_used_time(outcomes, route, running, now)
@@ -237,15 +258,15 @@
     return recent and outcomes.pressure_s > MIN_PRESSURE_S
 
 
-def _decrease(
-    outcomes: RunOutcomes, route: RouteOutcomes, running: int, now: float
-) -> None:
+def _decrease(outcomes: RunOutcomes, name: str, running: int, now: float) -> None:
+    route = outcomes.routes[name]
     if route.wasted / (route.runs + ASSUMED_RUNS) <= MAX_WASTED_FRACTION:
         return
     if route.limit is None:
         if route.wasted < MIN_WASTED_RUNS:
             return
         route.limit = float(running)
+        outcomes.limited[name] = route
     reduced = _least_urgent(outcomes, route)
     if now - reduced.decreased_at < max(MIN_DECREASE_INTERVAL_S, reduced.succeeded_s):
         return
@@ -259,14 +280,14 @@
     floor = _floor(outcomes)
     reducible = [
         other
-        for other in outcomes.routes.values()
+        for other in outcomes.limited.values()
         if other.rank > route.rank and other.limit is not None and other.limit > floor
     ]
     return max(reducible, key=lambda other: other.rank, default=route)
 
 
 def _floor(outcomes: RunOutcomes) -> float:
-    limits = sum(route.limit or 0.0 for route in outcomes.routes.values())
+    limits = sum(route.limit or 0.0 for route in outcomes.limited.values())
     return max(MIN_LIMIT, limits * MIN_LIMIT_PART)
 
 
@@ -292,5 +313,10 @@
     """Return whether a more urgent route needs the room."""
     return any(
         other.rank < route.rank and now - other.refused_at < REFUSED_RECENTLY_S
-        for other in outcomes.routes.values()
+        for other in outcomes.limited.values()
     )
+
+
+def route_limits(outcomes: RunOutcomes) -> tuple[tuple[str, float], ...]:
+    """Return the limits on concurrent runs by route."""
+    return tuple((name, r.limit or 0.0) for name, r in outcomes.limited.items())
--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -284,7 +284,14 @@
     needs_answers = queue.pace.phase is not PacePhase.FREE
     rate = pacing.rate(queue.pace, now)
     state.published.tell(
-        GuardState(state.server, load, needs_answers, rate, state.slowdown)
+        GuardState(
+            state.server,
+            load,
+            needs_answers,
+            rate,
+            state.slowdown,
+            run_outcomes.route_limits(state.outcomes),
+        )
     )
 
 
--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -26,6 +26,7 @@
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.queueing import Refuse
 from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.run_outcomes import outcome_of
 from _masticspoke.decisions.fleet.run_outcomes import RunOutcome
 from _masticspoke.events import Event
 from _masticspoke.fleet.dialect import Dialect
@@ -36,6 +37,8 @@
 from _masticspoke.fleet.guard.crash_watch import report_interrupted
 from _masticspoke.fleet.guard.crash_watch import report_success
 from _masticspoke.fleet.guard.gate import GateMessage
+from _masticspoke.fleet.guard.run_log import flow_kind
+from _masticspoke.fleet.guard.run_log import wasted_record
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.messages import Admit
 from _masticspoke.fleet.messages import BackendAnswered
@@ -211,12 +214,16 @@
         on_start()
         record_run_start(port.parents, job.request_id, job.is_retry, job.organisation)
         result = await _run_at_backend(port, job, outgoing, stream_answer)
-        if isinstance(result, Answer) and result.status >= _MIN_FAILURE_STATUS:
+        if isinstance(result, Answer) and _is_failure(result):
             nested_call_failed = job.request_id in port.parents.with_failed_call
             result = replace(result, nested_call_failed=nested_call_failed)
         answered = isinstance(result, Answer | Streamed)
-        outcome = _run_outcome(port.parents, job, result)
+        succeeded = answered and not _is_failure(result)
+        expired = isinstance(result, Interrupted) and result.expired
+        outcome = outcome_of(port.parents, job.request_id, succeeded, answered, expired)
         _log_outcome(port, job, result)
+        if outcome is RunOutcome.WASTED:
+            port.trail.tell(wasted_record(port.guard_state.value, job))
         return result
     finally:
         if admitted:
@@ -226,18 +233,8 @@
             port.gate.tell(RequestNotRun(ticket))
 
 
-def _run_outcome(parents: Parents, job: Job, result: RunResult) -> RunOutcome:
-    if isinstance(result, Streamed):
-        return RunOutcome.SUCCEEDED
-    if isinstance(result, Answer):
-        if result.status < _MIN_FAILURE_STATUS:
-            return RunOutcome.SUCCEEDED
-        wasted = job.request_id in parents.with_lost_call
-        return RunOutcome.WASTED if wasted else RunOutcome.OTHER
-    expired = isinstance(result, Interrupted) and result.expired
-    if expired and job.request_id in parents.with_call:
-        return RunOutcome.WASTED
-    return RunOutcome.OTHER
+def _is_failure(result: RunResult) -> bool:
+    return isinstance(result, Answer) and result.status >= _MIN_FAILURE_STATUS
 
 
 async def _run_at_backend(
@@ -382,6 +379,8 @@
         "id": job.request_id,
         "route": job.route,
         "reason": declined.reason,
+        "flow": flow_kind(job),
+        "organisation": job.organisation,
         "arrived": declined.arrived,
         "retry_s": round(declined.retry_s, 3),
         "left_s": round(job.deadline - port.clock(), 3),
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -376,6 +376,8 @@
         before it knows whether it has to.
     :param rate_limit: requests a second that may start; ``None`` without a limit.
     :param slowdown: latest that the backend server named; ``None`` if it named none.
+    :param route_limits: limits on concurrent runs by route, if its runs failed
+        with their nested requests.
     """
 
     server: BackendServer | None = None
@@ -383,3 +385,4 @@
     needs_answers: bool = False
     rate_limit: float | None = None
     slowdown: float | None = None
+    route_limits: tuple[tuple[str, float], ...] = ()
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -78,12 +78,19 @@
 def _count_declined(counts: Counts, record: EventRecord, now: float) -> None:
     route, reason = str(record.fields["route"]), str(record.fields["reason"])
     _increment(counts, Metric.FLEET_DECLINED, route, reason)
+    flow = str(record.fields["flow"])
+    _increment(counts, Metric.FLEET_DECLINED_FLOWS, flow, reason)
+
+
+def _count_wasted(counts: Counts, record: EventRecord, now: float) -> None:
+    _increment(counts, Metric.FLEET_WASTED, str(record.fields["route"]))
 
 
 _COUNTER_BY_EVENT: dict[Event, Callable[[Counts, EventRecord, float], None]] = {
     Event.REQUEST_ENDED: _count_request,
     Event.REQUEST_FAILED: _count_request,
     Event.RUN_NOT_STARTED: _count_declined,
+    Event.RUN_WASTED: _count_wasted,
 }
 
 
@@ -113,6 +120,8 @@
     )
     for quantity, value in gauges:
         yield Sample(Metric.FLEET_GUARD, (quantity,), value)
+    for route, limit in guard_state.route_limits:
+        yield Sample(Metric.FLEET_ROUTE_LIMIT, (route,), limit)
     version = 0 if configuration is None else configuration.version
     yield Sample(Metric.CONFIGURATION_VERSION, (), version)
 
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -122,6 +122,24 @@
         "Requests that this node's guard did not run.",
         ("route", "reason"),
     )
+    FLEET_DECLINED_FLOWS = MetricSpec(
+        "masticspoke_fleet_declined_flows_total",
+        MetricType.COUNTER,
+        "Requests that this node's guard did not run, by whose share they count for.",
+        ("flow", "reason"),
+    )
+    FLEET_WASTED = MetricSpec(
+        "masticspoke_fleet_wasted_runs_total",
+        MetricType.COUNTER,
+        "Runs at this node that failed because a nested request had no room.",
+        ("route",),
+    )
+    FLEET_ROUTE_LIMIT = MetricSpec(
+        "masticspoke_fleet_route_limit",
+        MetricType.GAUGE,
+        "Largest number of concurrent runs of a route whose runs failed so.",
+        ("route",),
+    )
     FLEET_LATENCY = MetricSpec(
         "masticspoke_fleet_latency_seconds",
         MetricType.SUMMARY,
--- a/testing/fleet/test_wasted_runs.py
+++ b/testing/fleet/test_wasted_runs.py
@@ -58,6 +58,11 @@
         assert route.wasted_total == 2
         assert route.limit is not None
         assert not head.parts.parents.with_lost_call
+        url = f"http://{head.parts.settings.metrics}/metrics"
+        async with fleet.session.get(url) as answer:
+            lines = (await answer.text()).splitlines()
+        assert 'masticspoke_fleet_wasted_runs_total{route="see"} 2' in lines
+        assert any(line.startswith("masticspoke_fleet_route_limit{") for line in lines)
 
     run_scenario(tmp_path, scenario)
 
