Quotas: keepers grant the tokens of organisations to all nodes

The limit of an organisation held nowhere: each node by itself would have granted all of it. Nodes now take a token for each request of a limited organisation from the keeper of its group; the front end refuses with 429 without one.

A keeper that is cut off and its replacement would both grant the whole limit, so a keeper adds tokens in proportion to the nodes that are members of it, and a node is a member of one keeper at a time (a lease on the keeper's clock).

--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -83,6 +83,9 @@
         4207, "WARNING", "keys refused, configuration not confirmed in time"
     )
     KEYS_ACCEPTED = EventSpec(4208, "INFO", "keys accepted again")
+    KEEPER_SILENT = EventSpec(4301, "WARNING", "keeper of quotas does not respond")
+    KEEPER_RESPONDS = EventSpec(4302, "INFO", "keeper of quotas responds again")
+    QUOTA_REACHED = EventSpec(4303, "INFO", "organisation has reached its limit")
     LINES_DROPPED = EventSpec(4901, "WARNING", "log lines dropped")
     MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -5,12 +5,14 @@
 import sys
 import time
 from collections.abc import Callable
+from itertools import chain
 from random import Random
 
 from _masticspoke.border.exposition import encode_metrics
 from _masticspoke.border.exposition import EXPOSITION_TYPE
 from _masticspoke.border.follow import FOLLOW_PATH
 from _masticspoke.border.hop import RUN_QUERY_PATH
+from _masticspoke.border.quota import QUOTA_PATH
 from _masticspoke.border.sync import SYNC_PATH
 from _masticspoke.connections import connection_owner
 from _masticspoke.connections import MAX_LINE_BYTES
@@ -48,6 +50,10 @@
 from _masticspoke.fleet.knowledge.sync import sync_task
 from _masticspoke.fleet.knowledge.sync import SyncPort
 from _masticspoke.fleet.parts import FleetParts
+from _masticspoke.fleet.quota.keeper import quota_handler
+from _masticspoke.fleet.quota.taking import QuotaPort
+from _masticspoke.fleet.quota.wiring import quota_children
+from _masticspoke.fleet.quota.wiring import read_quota_samples
 from _masticspoke.fleet.reporting.counts import AskCounts
 from _masticspoke.fleet.reporting.counts import Counts
 from _masticspoke.fleet.reporting.counts import samples
@@ -95,6 +101,8 @@
         parts.configuration,
         parts.gate,
         parts.placer,
+        parts.quota,
+        parts.quota_keeper,
         parts.unsaved,
         parts.suspects,
         parts.trail,
@@ -190,13 +198,14 @@
 
 
 def dispatch_branch(parts: FleetParts) -> ChildBody:
-    """Return the supervisor of the placer and the connections to other nodes."""
+    """Return the supervisor of placer, quotas and connections to other nodes."""
     placer_body = placer(parts.placer, parts.placer_state, boot_clock)
     peers_owner = connection_owner(parts.peer_connections, CONNECT_TIMEOUT_S)
     children = (
         ChildSpec("peer_connections", peers_owner, _CLOSE_TIMEOUT_S),
         ChildSpec("connections", pool_owner(parts.node_connections), _CLOSE_TIMEOUT_S),
         ChildSpec("placer", placer_body),
+        *quota_children(parts),
     )
     return supervisor("dispatch", children, boot_clock)
 
@@ -264,6 +273,7 @@
         parts.stop,
         parts.confirmation,
         settings.revocation_s,
+        QuotaPort(parts.quota),
     )
 
 
@@ -279,7 +289,8 @@
             counts, parts.guard_state.value, parts.configuration.value, boot_clock()
         )
         headers = {"Content-Type": EXPOSITION_TYPE}
-        return Response(200, headers, encode_metrics(metrics))
+        body = encode_metrics(chain(metrics, await read_quota_samples(parts)))
+        return Response(200, headers, body)
 
     return handle
 
@@ -306,6 +317,7 @@
         {
             SYNC_PATH: sync_handler(sync_port(parts)),
             FOLLOW_PATH: follow_handler(relay_port(parts)),
+            QUOTA_PATH: quota_handler(parts.quota_keeper),
             RUN_QUERY_PATH: outcome_handler(port),
         },
     )
--- a/src/_masticspoke/fleet/dispatch/front.py
+++ b/src/_masticspoke/fleet/dispatch/front.py
@@ -34,6 +34,8 @@
 from _masticspoke.fleet.dispatch.incoming import IncomingRequest
 from _masticspoke.fleet.dispatch.incoming import Outcome
 from _masticspoke.fleet.dispatch.incoming import Unanswered
+from _masticspoke.fleet.dispatch.limiting import Result
+from _masticspoke.fleet.dispatch.limiting import send_within_limit
 from _masticspoke.fleet.dispatch.sending import AnswerForwarder
 from _masticspoke.fleet.dispatch.sending import send
 from _masticspoke.fleet.dispatch.sending import SendPort
@@ -46,6 +48,7 @@
 from _masticspoke.fleet.messages import NoPlacement
 from _masticspoke.fleet.messages import Placement
 from _masticspoke.fleet.messages import PlaceRequest
+from _masticspoke.fleet.quota.taking import QuotaPort
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.http_server import Streamed
 from _masticspoke.model import Address
@@ -87,6 +90,7 @@
     stop: PlannedStop
     confirmation: Latest[Confirmation]
     revocation_s: float | None
+    quota: QuotaPort
 
 
 @final
@@ -128,9 +132,6 @@
         return self.origin is not Origin.CLIENT
 
 
-Result = Answer | Streamed | Unanswered
-
-
 async def serve_request(
     port: FrontPort,
     incoming: IncomingRequest,
@@ -175,8 +176,10 @@
     if progress.nested:
         record_nested_call(parents, incoming.request_id)
     try:
-        result = await _send_until_answered(
-            port, incoming, progress, outgoing, forwarder
+        result = await send_within_limit(
+            port.quota,
+            None if progress.nested else organisation,
+            lambda: _send_until_answered(port, incoming, progress, outgoing, forwarder),
         )
     except asyncio.CancelledError:
         # The run that made the request no longer waits for it.
--- a/src/_masticspoke/fleet/dispatch/incoming.py
+++ b/src/_masticspoke/fleet/dispatch/incoming.py
@@ -11,13 +11,14 @@
 class Outcome(StrEnum):
     """How a request ended without an answer from a backend server.
 
-    ``NOT_READY``, ``NO_ROUTE``, ``UNAUTHORISED`` and ``REFUSED`` guarantee that the
-    request has not run and never will.
+    ``NOT_READY``, ``NO_ROUTE``, ``UNAUTHORISED``, ``LIMITED`` and ``REFUSED`` guarantee
+    that the request has not run and never will.
     """
 
     NOT_READY = "not-ready"
     NO_ROUTE = "no-route"
     UNAUTHORISED = "unauthorised"
+    LIMITED = "limited"
     REFUSED = "refused"
     FAILED = "failed"
     EXPIRED = "expired"
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -284,7 +284,10 @@
 
 def _send_servers(state: RegistryTask, changed: tuple[BackendServer, ...]) -> None:
     servers = tuple(state.registry.members.by_address.values())
-    state.port.placer.tell(ServersChanged(servers, changed))
+    message = ServersChanged(servers, changed)
+    state.port.placer.tell(message)
+    state.port.quota.tell(message)
+    state.port.quota_keeper.tell(message)
 
 
 def _configuration_received(
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -21,6 +21,8 @@
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import Deregistered
 from _masticspoke.fleet.messages import Unsaved
+from _masticspoke.fleet.quota.messages import KeeperMessage
+from _masticspoke.fleet.quota.messages import QuotaMessage
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.model import Address
 from _masticspoke.supervise.latest import Latest
@@ -103,6 +105,8 @@
     configuration: Latest[Configuration | None]
     gate: Mailbox[GateMessage]
     placer: Mailbox[PlacerMessage]
+    quota: Mailbox[QuotaMessage]
+    quota_keeper: Mailbox[KeeperMessage]
     unsaved: Mailbox[Unsaved]
     suspects: Latest[SuspectView]
     trail: Mailbox[TrailMessage]
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -94,7 +94,10 @@
 @final
 @dataclass(frozen=True, slots=True)
 class ServersChanged:
-    """Registry to placer: all backend servers, and those that are new or changed."""
+    """Registry to placer, quota task and keeper: all backend servers, and the changed.
+
+    Those that are new count as changed.
+    """
 
     servers: tuple[BackendServer, ...]
     changed: tuple[BackendServer, ...]
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -31,6 +31,12 @@
 from _masticspoke.fleet.knowledge.relaying import RelayMessage
 from _masticspoke.fleet.messages import GuardState
 from _masticspoke.fleet.messages import Unsaved
+from _masticspoke.fleet.quota.keeper import KeeperTask
+from _masticspoke.fleet.quota.messages import KeeperMessage
+from _masticspoke.fleet.quota.messages import QuotaMessage
+from _masticspoke.fleet.quota.messages import SendQuery
+from _masticspoke.fleet.quota.tokens import new_quota_task
+from _masticspoke.fleet.quota.tokens import QuotaTask
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.settings import FleetSettings
 from _masticspoke.http_pool import HttpPool
@@ -56,6 +62,7 @@
     :param unsaved: states of the local backend server, and this node's crash reports,
         that are to be appended to the log.
     :param suspects: requests that were running at crashes.
+    :param quota_queries: queries to keepers of quotas that are to be sent.
     :param reads_log: on while this node reads the log itself.
     :param configuration_wait_s: how long its reads of the configuration wait, seconds.
     :param bodies: memory for the bodies of requests.
@@ -85,6 +92,11 @@
     unsaved: Mailbox[Unsaved]
     writer_state: WriterState
     suspects: Latest[SuspectView]
+    quota: Mailbox[QuotaMessage]
+    quota_task: QuotaTask
+    quota_queries: Mailbox[SendQuery]
+    quota_keeper: Mailbox[KeeperMessage]
+    quota_keeper_task: KeeperTask
     trail: Mailbox[TrailMessage]
     relay_chooser: Mailbox[RelayMessage]
     relay_state: RelayState
@@ -103,12 +115,15 @@
     gate: Mailbox[GateMessage] = Mailbox(_MAILBOX_CAPACITY)
     trail: Mailbox[TrailMessage] = Mailbox(_MAILBOX_CAPACITY)
     waits = waits_within(settings.revocation_s)
+    configuration: Latest[Configuration | None] = Latest(None)
+    quota_queries: Mailbox[SendQuery] = Mailbox(_MAILBOX_CAPACITY)
+    host = settings.nodes.host
     return FleetParts(
         settings=settings,
         dialect=dialect,
         stop=PlannedStop(settings.stop_timeout_s),
         registry_state=RegistryState(),
-        configuration=Latest(None),
+        configuration=configuration,
         confirmation=Latest(Confirmation()),
         service=Latest(settings.service),
         guard_state=guard_state,
@@ -126,9 +141,14 @@
         unsaved=Mailbox(_MAILBOX_CAPACITY),
         writer_state=WriterState(),
         suspects=Latest(SuspectView()),
+        quota=Mailbox(_MAILBOX_CAPACITY),
+        quota_task=new_quota_task(host, configuration, quota_queries, trail),
+        quota_queries=quota_queries,
+        quota_keeper=Mailbox(_MAILBOX_CAPACITY),
+        quota_keeper_task=KeeperTask(configuration),
         trail=trail,
         relay_chooser=Mailbox(_MAILBOX_CAPACITY),
-        relay_state=RelayState(settings.nodes.host, settings.zone, waits=waits),
+        relay_state=RelayState(host, settings.zone, waits=waits),
         reads_log=Switch(),
         configuration_wait_s=Latest(waits.read_s),
         bodies=BodyMemory(
--- /dev/null
+++ b/src/_masticspoke/fleet/quota/__init__.py
@@ -0,0 +1,3 @@
+"""Quotas of organisations that all nodes keep together."""
+
+from __future__ import annotations
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from typing import final
@@ -12,6 +13,7 @@
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.events import Event
 from _masticspoke.fleet.messages import GuardState
+from _masticspoke.fleet.quota.messages import QuotaCounts
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.metrics.families import Metric
 from _masticspoke.metrics.families import Sample
@@ -126,6 +128,21 @@
     yield Sample(Metric.CONFIGURATION_VERSION, (), version)
 
 
+def quota_samples(
+    counts: QuotaCounts, shares: Mapping[int, float]
+) -> Iterator[Sample | Summary]:
+    """Yield the metrics of quotas.
+
+    :param shares: share that this node grants as a keeper, by group.
+    """
+    for result, count in counts.results.items():
+        yield Sample(Metric.FLEET_QUOTA, (result,), count)
+    for organisation, count in counts.refused.items():
+        yield Sample(Metric.FLEET_QUOTA_REFUSED, (organisation,), count)
+    for group, share in shares.items():
+        yield Sample(Metric.FLEET_QUOTA_SHARE, (str(group),), share)
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class AskCounts:
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -152,6 +152,24 @@
         "State of the guard: running, waiting, limit, run time, pressure, rate limit.",
         ("what",),
     )
+    FLEET_QUOTA = MetricSpec(
+        "masticspoke_fleet_quota_total",
+        MetricType.COUNTER,
+        "Requests of limited organisations and queries to keepers, by result.",
+        ("result",),
+    )
+    FLEET_QUOTA_REFUSED = MetricSpec(
+        "masticspoke_fleet_quota_refused_total",
+        MetricType.COUNTER,
+        "Requests beyond the limit of their organisation.",
+        ("organisation",),
+    )
+    FLEET_QUOTA_SHARE = MetricSpec(
+        "masticspoke_fleet_quota_share",
+        MetricType.GAUGE,
+        "Part of the limits of a group of organisations that this keeper grants.",
+        ("group",),
+    )
     FLEET_LINES_DROPPED = MetricSpec(
         "masticspoke_fleet_lines_dropped_total",
         MetricType.COUNTER,
--- a/src/_masticspoke/platform/ingress.py
+++ b/src/_masticspoke/platform/ingress.py
@@ -37,6 +37,7 @@
     Outcome.NOT_READY: 503,
     Outcome.NO_ROUTE: 404,
     Outcome.UNAUTHORISED: 401,
+    Outcome.LIMITED: 429,
     Outcome.REFUSED: 503,
     Outcome.FAILED: 502,
     Outcome.EXPIRED: 504,
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -39,6 +39,8 @@
             Mailbox(100),
             Mailbox(100),
             Mailbox(100),
+            Mailbox(100),
+            Mailbox(100),
             Latest(SuspectView()),
             self.trail,
             "keyed.op",
