Quotas: a keeper counts its members by a timer; fewer renewals

Nodes that start together renew together, and the time between their queries looked like a pause of the keeper to itself, so that above 250 nodes it would add no tokens. A keeper counts every 0.2 s, and the pace of renewals differs by node. Renewals every 0.4 s and at most 200 a second: one costs a keeper about 0.15 ms.

--- a/src/_masticspoke/decisions/fleet/quota_keeper.py
+++ b/src/_masticspoke/decisions/fleet/quota_keeper.py
@@ -23,10 +23,11 @@
 from typing import final
 
 # Time between two queries of a member that needs no tokens, seconds: the shortest, the
-# longest, and the part for each node that keeps a keeper at 300 such queries a second.
-MIN_RENEWAL_S = 0.3
-MAX_RENEWAL_S = 1.0
-RENEWAL_S_PER_NODE = 1 / 300
+# longest, and the part for each node that keeps a keeper at 200 such queries a second.
+# One costs the keeper about 0.15 ms of processor time.
+MIN_RENEWAL_S = 0.4
+MAX_RENEWAL_S = 1.5
+RENEWAL_S_PER_NODE = 1 / 200
 # A membership lasts for two renewals and this time after a response, seconds.
 LEASE_MARGIN_S = 0.2
 # Largest step of time for which tokens are added; a longer one is a pause, seconds.
@@ -44,6 +45,8 @@
 # Pauses between queries after a grant that was short, seconds.
 MIN_PAUSE_S = 0.02
 MAX_PAUSE_S = 0.25
+# Longest time between two counts of a keeper with members that isn't paused, seconds.
+_TICK_S = 0.2
 # Longest time that a response names until the next token, seconds.
 MAX_NEXT_S = 10.0
 # Factor between the square root of the rate of short queries to a bucket and the pause.
@@ -177,9 +180,24 @@
 
 def shares(state: KeeperState, now: float) -> Mapping[int, float]:
     """Return which part of the limits this keeper grants, from 0 to 1, by group."""
+    advance(state, now)
+    return {number: group.share for number, group in state.groups.items()}
+
+
+def advance(state: KeeperState, now: float) -> None:
+    """Count the members of all groups up to now."""
     for group in state.groups.values():
         _advance(state, group, now)
-    return {number: group.share for number, group in state.groups.items()}
+
+
+def tick_s(state: KeeperState) -> float | None:
+    """Return the time after which to count again; ``None`` without members.
+
+    Queries alone don't do: those of all nodes may come at the same time, and the time
+    between would look like a pause.
+    """
+    has_members = any(group.members for group in state.groups.values())
+    return _TICK_S if has_members else None
 
 
 def answer_query(
--- a/src/_masticspoke/decisions/fleet/quota_membership.py
+++ b/src/_masticspoke/decisions/fleet/quota_membership.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import final
+from zlib import crc32
 
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
@@ -54,11 +55,14 @@
 
     :param host: IP address of this node.
     :param known: number of nodes that it knows.
+    :param pace: factor of the time between renewals, from 0.8 to 1. It differs by node,
+        so that nodes that started together don't query together.
     :param silent: by keeper that did not respond, when to query it again.
     """
 
     host: str
     known: int = 1
+    pace: float = 1.0
     candidates: dict[int, tuple[str, ...]] = field(default_factory=dict)
     links: dict[int, _Link] = field(default_factory=dict)
     silent: dict[str, float] = field(default_factory=dict)
@@ -67,6 +71,7 @@
 def learn_servers(state: MembershipState, servers: Iterable[BackendServer]) -> None:
     """Rank the keepers anew; this node is the last resort of each group."""
     ready = [server for server in servers if server.phase is Phase.READY]
+    state.pace = 0.8 + 0.2 * (crc32(state.host.encode()) % 256) / 256
     state.known = max(1, len({server.address.host for server in ready}))
     for group in range(GROUPS):
         ranked = rank_keepers(group, ready)
@@ -180,7 +185,7 @@
     if link.member_of != keeper or now >= link.member_until:
         # The first query that may make this node a member.
         return max(link.sent_at + _JOIN_PAUSE_S, link.member_until)
-    renewal_at = link.sent_at + renewal_s(state.known)
+    renewal_at = link.sent_at + renewal_s(state.known) * state.pace
     if keeper != _preferred(state, group):
         return min(renewal_at, link.member_until)
     return renewal_at
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -35,8 +35,8 @@
 from _masticspoke.fleet.quota.messages import KeeperMessage
 from _masticspoke.fleet.quota.messages import QuotaMessage
 from _masticspoke.fleet.quota.messages import SendQuery
-from _masticspoke.fleet.quota.tokens import new_quota_task
-from _masticspoke.fleet.quota.tokens import QuotaTask
+from _masticspoke.fleet.quota.state import new_quota_task
+from _masticspoke.fleet.quota.state import QuotaTask
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.settings import FleetSettings
 from _masticspoke.http_pool import HttpPool
--- a/src/_masticspoke/fleet/quota/keeper.py
+++ b/src/_masticspoke/fleet/quota/keeper.py
@@ -12,11 +12,13 @@
 from _masticspoke.border.quota import MAX_QUOTA_BYTES
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Phase
+from _masticspoke.decisions.fleet.quota_keeper import advance
 from _masticspoke.decisions.fleet.quota_keeper import answer_query
 from _masticspoke.decisions.fleet.quota_keeper import KeeperState
 from _masticspoke.decisions.fleet.quota_keeper import Limit
 from _masticspoke.decisions.fleet.quota_keeper import QuotaResponse
 from _masticspoke.decisions.fleet.quota_keeper import shares
+from _masticspoke.decisions.fleet.quota_keeper import tick_s
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.quota.messages import AskShares
 from _masticspoke.fleet.quota.messages import KeeperAsked
@@ -55,7 +57,15 @@
     """Return the body of the keeper's task."""
 
     async def run(life: Lifecycle) -> None:
-        await serve_at_once(inbox, state, HANDLERS, clock, life)
+        await serve_at_once(
+            inbox,
+            state,
+            HANDLERS,
+            clock,
+            life,
+            wait_s=lambda state, now: tick_s(state.keeper),
+            on_timer=lambda state, now: advance(state.keeper, now),
+        )
 
     return run
 
--- a/src/_masticspoke/fleet/quota/tokens.py
+++ b/src/_masticspoke/fleet/quota/tokens.py
@@ -2,37 +2,27 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass
-from dataclasses import field
-from typing import final
 
 from _masticspoke.decisions.fleet import quota_membership as membership
 from _masticspoke.decisions.fleet import quota_tokens as tokens
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
-from _masticspoke.decisions.fleet.model import Configuration
-from _masticspoke.decisions.fleet.quota_keeper import Limit
-from _masticspoke.decisions.fleet.quota_keeper import QuotaQuery
-from _masticspoke.decisions.fleet.quota_keeper import Want
-from _masticspoke.decisions.fleet.quota_membership import MembershipState
 from _masticspoke.decisions.fleet.quota_ranking import group_of
-from _masticspoke.decisions.fleet.quota_tokens import TokenState
 from _masticspoke.events import Event
 from _masticspoke.fleet.messages import ServersChanged
+from _masticspoke.fleet.quota.asking import next_due_at
+from _masticspoke.fleet.quota.asking import send_queries
 from _masticspoke.fleet.quota.messages import AskQuotaCounts
 from _masticspoke.fleet.quota.messages import NoToken
 from _masticspoke.fleet.quota.messages import QueryEnded
 from _masticspoke.fleet.quota.messages import QuotaCounts
 from _masticspoke.fleet.quota.messages import QuotaMessage
 from _masticspoke.fleet.quota.messages import ReturnToken
-from _masticspoke.fleet.quota.messages import SendQuery
 from _masticspoke.fleet.quota.messages import TakeToken
 from _masticspoke.fleet.quota.messages import Token
-from _masticspoke.fleet.reporting.counts import TrailMessage
+from _masticspoke.fleet.quota.state import QuotaTask
+from _masticspoke.fleet.quota.state import Waiter
 from _masticspoke.fleet.reporting.event_record import EventRecord
-from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
@@ -41,83 +31,15 @@
 from _masticspoke.supervise.server import serve_at_once
 from _masticspoke.supervise.supervisor import Clock
 
-# Time between two looks at whether the configuration has limits, seconds.
-_IDLE_S = 1.0
 # After a grant that was short, an organisation counts as at its limit for this time
 # beyond the time that the keeper named, seconds.
 _KNOWN_EMPTY_S = 0.2
-# A query counts as lost after this time, which is longer than its timeout, seconds.
-_LOST_S = 0.5
-# Two steps without a message are at least this far apart, seconds.
-_MIN_INTERVAL_S = 0.002
 # Organisations with a counter of their own.
 _MAX_COUNTED = 64
 # An organisation at its limit is logged once in this time, seconds.
 _LOG_INTERVAL_S = 10.0
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class _Waiter:
-    reply: Reply[Token | NoToken]
-    until: float
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class _OpenQuery:
-    sent_at: float
-    groups: tuple[int, ...]
-    asked: dict[str, int]
-
-
-@final
-@dataclass(slots=True)
-class QuotaTask:
-    """State of the quota task, which outlives a crash of the task.
-
-    :param host: IP address of this node.
-    :param groups: groups with a limited organisation in the configuration ``version``.
-    :param waiting: requests that wait for a token, by organisation.
-    :param low: organisations whose tokens run low.
-    :param open: queries that have not ended, by keeper.
-    :param due_at: time of the next step that no message causes.
-    :param counts: requests and queries by result since the start.
-    :param refused: refused requests by organisation since the start.
-    """
-
-    host: str
-    configuration: Latest[Configuration | None]
-    sender: Mailbox[SendQuery]
-    trail: Mailbox[TrailMessage]
-    counts: Counter[str]
-    refused: Counter[str]
-    membership: MembershipState
-    tokens: TokenState = field(default_factory=TokenState)
-    version: int = 0
-    groups: tuple[int, ...] = ()
-    waiting: dict[str, deque[_Waiter]] = field(default_factory=dict)
-    low: set[str] = field(default_factory=set)
-    open: dict[str, _OpenQuery] = field(default_factory=dict)
-    due_at: float = 0.0
-    logged_at: dict[str, float] = field(default_factory=dict)
-
-
-def new_quota_task(
-    host: str,
-    configuration: Latest[Configuration | None],
-    sender: Mailbox[SendQuery],
-    trail: Mailbox[TrailMessage],
-) -> QuotaTask:
-    """Return the state of a new node's quota task.
-
-    :param host: IP address of the node.
-    """
-    return QuotaTask(
-        host, configuration, sender, trail, Counter(), Counter(), MembershipState(host)
-    )
-
-
 def quota(inbox: Mailbox[QuotaMessage], state: QuotaTask, clock: Clock) -> ChildBody:
     """Return the body of the quota task."""
 
@@ -154,7 +76,7 @@
         _refuse(state, message.reply, organisation.name, now)
         return
     waiters = state.waiting.setdefault(organisation.name, deque())
-    waiters.append(_Waiter(message.reply, until))
+    waiters.append(Waiter(message.reply, until))
     state.due_at = min(state.due_at, until) if is_empty else now
 
 
@@ -271,20 +193,9 @@
 def step_if_due(state: QuotaTask, now: float) -> None:
     """Refuse requests that waited too long, and send the queries that are due."""
     if now >= state.due_at:
-        _read_groups(state)
         _give_up_waiting(state, now)
-        _send_queries(state, now)
-        state.due_at = _next_due_at(state, now)
-
-
-def _read_groups(state: QuotaTask) -> None:
-    configuration = state.configuration.value
-    if configuration is None or configuration.version == state.version:
-        return
-    state.version = configuration.version
-    organisations = (configuration.organisations or {}).values()
-    limited = {group_of(o.name) for o in organisations if o.rate_per_s > 0}
-    state.groups = tuple(sorted(limited))
+        send_queries(state, now)
+        state.due_at = next_due_at(state, now)
 
 
 def _give_up_waiting(state: QuotaTask, now: float) -> None:
@@ -299,88 +210,3 @@
             state.counts["unknown"] += 1
         if not waiters:
             del state.waiting[name]
-    for keeper, query in list(state.open.items()):
-        if now - query.sent_at > _LOST_S:
-            del state.open[keeper]
-
-
-def _send_queries(state: QuotaTask, now: float) -> None:
-    asked = _asked_tokens(state, now)
-    groups = {group_of(name) for name in asked}
-    groups |= {
-        group
-        for group in state.groups
-        if membership.renewal_at(state.membership, group, now) <= now
-    }
-    by_keeper = membership.queried_groups(state.membership, groups, now)
-    everything = membership.queried_groups(state.membership, state.groups, now)
-    for keeper, queried in by_keeper.items():
-        if keeper not in state.open:
-            # One query renews the memberships of all groups of a keeper.
-            queried = tuple({*queried, *everything.get(keeper, ())})
-            _send_query(state, keeper, queried, asked, now)
-    if state.groups:
-        for keeper in membership.due_probes(state.membership, now):
-            if keeper not in state.open:
-                _send_query(state, keeper, (), {}, now)
-
-
-def _asked_tokens(state: QuotaTask, now: float) -> dict[str, int]:
-    asked = {}
-    for name in {*state.waiting, *state.low}:
-        account = state.tokens.accounts.get(name)
-        if account is not None:
-            waiting = len(state.waiting.get(name, ()))
-            asked[name] = tokens.wanted(account, waiting, now)
-    asked = {name: count for name, count in asked.items() if count > 0}
-    state.low.intersection_update(asked)
-    return asked
-
-
-def _send_query(
-    state: QuotaTask,
-    keeper: str,
-    groups: Iterable[int],
-    asked: dict[str, int],
-    now: float,
-) -> None:
-    queried = tuple(groups)
-    own = {name: n for name, n in asked.items() if group_of(name) in queried}
-    query = QuotaQuery(
-        node=state.host,
-        version=state.version,
-        known=state.membership.known,
-        seen_ms={
-            group: membership.seen_ms(state.membership, group, now) for group in queried
-        },
-        wants={
-            (group_of(name), name): _want(state, name, count)
-            for name, count in own.items()
-        },
-    )
-    state.open[keeper] = _OpenQuery(now, queried, own)
-    state.low.difference_update(own)
-    state.sender.tell(SendQuery(keeper, query))
-
-
-def _want(state: QuotaTask, name: str, count: int) -> Want:
-    organisation = state.tokens.accounts[name].organisation
-    return Want(count, Limit(organisation.rate_per_s, organisation.burst))
-
-
-def _next_due_at(state: QuotaTask, now: float) -> float:
-    times = [now + _IDLE_S]
-    for name, waiters in state.waiting.items():
-        times.append(waiters[0].until)
-        account = state.tokens.accounts.get(name)
-        if account is not None and now < account.empty_until:
-            times.append(account.empty_until)
-    times += [query.sent_at + _LOST_S for query in state.open.values()]
-    if state.groups:
-        probe_at = membership.next_probe_at(state.membership)
-        times += [] if probe_at is None else [probe_at]
-    for group in state.groups:
-        keeper = membership.keeper_of(state.membership, group, now)
-        if keeper not in state.open:  # else the end of the query causes a step
-            times.append(membership.renewal_at(state.membership, group, now))
-    return max(min(times), now + _MIN_INTERVAL_S)
--- a/testing/fleet/quota/quota_world.py
+++ b/testing/fleet/quota/quota_world.py
@@ -25,6 +25,7 @@
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.model import QuotaBounds
+from _masticspoke.decisions.fleet.quota_keeper import advance
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.quota import keeper as keeper_module
 from _masticspoke.fleet.quota import tokens as tokens_module
@@ -36,13 +37,14 @@
 from _masticspoke.fleet.quota.messages import TakeToken
 from _masticspoke.fleet.quota.messages import Token
 from _masticspoke.fleet.quota.queries import RESPONSE_TIMEOUT_S
-from _masticspoke.fleet.quota.tokens import new_quota_task
+from _masticspoke.fleet.quota.state import new_quota_task
 from _masticspoke.model import Address
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
 
 BOUNDS = QuotaBounds()
+TICK_S = 0.2
 
 
 @dataclass
@@ -83,6 +85,15 @@
         )
         self.keeper = KeeperTask(self.configuration)
         self.timer_at = float("inf")
+        self.tick(self.generation)
+
+    def tick(self, generation: int) -> None:
+        """Let the keeper's timer run while the process does."""
+        if self.generation != generation:
+            return
+        if self.world.now >= self.paused_until:
+            advance(self.keeper.keeper, self.clock())
+        self.world.at(self.world.now + TICK_S, lambda: self.tick(generation))
 
     def clock(self) -> float:
         return self.world.now + self.offset_s
