Guard learns how many requests its backend server takes well at a time

Announced slots say nothing of a server that slows as it fills. The guard compares run times of a route with the number of concurrent runs, which dips by up to 15% for 0.2 s a second, and lowers the limit where runs take longer by about as much as more of them run. Runs with nested calls, failures and streamed answers don't count. Off where servers name no slowdown and the configuration has no organisations.

--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -98,6 +98,8 @@
     :param top_level_run_s: smoothed run time of requests that are not nested.
     :param reserve: need of nested requests.
     :param pace: pace of the requests to the server.
+    :param learned_limit: requests that the server takes well at a time; ``None`` if
+        only its slots are known.
     """
 
     slots: int = 1
@@ -110,11 +112,18 @@
     top_level_run_s: float = INITIAL_RUN_S
     reserve: Reserve = field(default_factory=Reserve)
     pace: Pace = field(default_factory=lambda: Pace(PacePhase.FREE))
+    learned_limit: int | None = None
+
+    @property
+    def announced_limit(self) -> int:
+        """Largest number of requests that the announced slots allow."""
+        return max(1, int(self.slots * USED_SLOTS_FRACTION))
 
     @property
     def limit(self) -> int:
         """Largest number of requests that run concurrently."""
-        return max(1, int(self.slots * USED_SLOTS_FRACTION))
+        announced, learned = self.announced_limit, self.learned_limit
+        return announced if learned is None else min(announced, learned)
 
     @property
     def queued(self) -> int:
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -71,6 +71,9 @@
         4108, "WARNING", "request refused that crashed backend servers"
     )
     QUARANTINE_ENDED = EventSpec(4109, "INFO", "request no longer refused")
+    LEARNED_LIMIT_CHANGED = EventSpec(
+        4111, "INFO", "learned limit of the local backend server changed"
+    )
     CONFIGURATION_IN_FORCE = EventSpec(4201, "INFO", "configuration in force")
     CONFIGURATION_UNREADABLE = EventSpec(4202, "WARNING", "configuration unreadable")
     HEARTBEAT_REJECTED = EventSpec(4203, "WARNING", "heartbeat rejected")
--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -21,6 +21,7 @@
 from _masticspoke.decisions.fleet.pacing import PacePhase
 from _masticspoke.decisions.fleet.queueing import Queue
 from _masticspoke.decisions.fleet.queueing import Refuse
+from _masticspoke.decisions.fleet.queueing import Start
 from _masticspoke.decisions.fleet.queueing import Verdict
 from _masticspoke.decisions.fleet.run_outcomes import RunOutcome
 from _masticspoke.decisions.fleet.run_outcomes import RunOutcomes
@@ -28,6 +29,8 @@
 from _masticspoke.decisions.fleet.throttle import admits
 from _masticspoke.decisions.fleet.throttle import Throttle
 from _masticspoke.events import Event
+from _masticspoke.fleet.guard import limit_learning
+from _masticspoke.fleet.guard.limit_learning import LimitLearning
 from _masticspoke.fleet.messages import Admit
 from _masticspoke.fleet.messages import AskActiveCount
 from _masticspoke.fleet.messages import BackendAnswered
@@ -78,7 +81,7 @@
     :param replies: pending replies to the waiting requests, by ticket.
     :param server: the local backend server; ``None`` until it is known.
     :param downstream_pressure_s: latest value that the placer reported.
-    :param slowdown: latest that the backend server named; ``None`` if it named none.
+    :param learning: what is known of the limit and speed of the local backend server.
     :param stopping: whether the node is stopping, so that waiting and new
         requests are refused.
     """
@@ -91,7 +94,7 @@
     replies: dict[int, Reply[Verdict]] = field(default_factory=dict)
     server: BackendServer | None = None
     downstream_pressure_s: float = 0.0
-    slowdown: float | None = None
+    learning: LimitLearning = field(default_factory=LimitLearning)
     stopping: bool = False
 
 
@@ -126,13 +129,16 @@
         refusal = Refuse(message.ticket, NotRun.PRESSURE, _PRESSURE_RETRY_S)
         message.reply.answer(refusal)
         return
+    limit_learning.update_limit(state.learning, state.queue, now)
     verdict = queueing.admit(state.queue, message.ticket, job, now)
     if not isinstance(verdict, Refuse):
         run_outcomes.record_admitted(state.outcomes, message.ticket, job, now)
     if verdict is None:
         state.replies[message.ticket] = message.reply
-    else:
-        message.reply.answer(verdict)
+        return
+    if isinstance(verdict, Start):
+        limit_learning.record_start(state.learning, state.queue, message.ticket, now)
+    message.reply.answer(verdict)
 
 
 def _own_service(state: GateState) -> str | None:
@@ -143,20 +149,25 @@
     ticket, outcome = message.ticket, message.outcome
     _, started_at = state.queue.running.get(ticket, (None, now))
     run_outcomes.record_end(state.outcomes, ticket, outcome, now - started_at, now)
-    succeeded = outcome is not RunOutcome.WASTED
-    _send_verdicts(
-        state, queueing.finish(state.queue, ticket, message.answered, now, succeeded)
-    )
-    _publish(state, now)
+    _finish(state, message, now)
 
 
 def _request_not_run(state: GateState, message: RequestNotRun, now: float) -> None:
     run_outcomes.record_end(state.outcomes, message.ticket, RunOutcome.OTHER, 0.0, now)
     if state.replies.pop(message.ticket, None) is not None:
         queueing.remove_waiting(state.queue, message.ticket)
-    _send_verdicts(
-        state, queueing.finish(state.queue, message.ticket, ran=False, now=now)
+    _finish(state, RunEnded(message.ticket, answered=False), now)
+
+
+def _finish(state: GateState, end: RunEnded, now: float) -> None:
+    learning, queue = state.learning, state.queue
+    limit_learning.record_end(
+        learning, queue, end.ticket, end.shows_speed, state.trail, now
     )
+    limit_learning.update_limit(learning, queue, now)
+    succeeded = end.outcome is not RunOutcome.WASTED
+    verdicts = queueing.finish(queue, end.ticket, end.answered, now, succeeded)
+    _send_verdicts(state, verdicts, now)
     _publish(state, now)
 
 
@@ -170,12 +181,13 @@
         state.queue.pace = Pace(PacePhase.UNCONFIRMED)
     elif previous is not None and _is_another_start(previous, message.server):
         state.queue.pace = Pace(PacePhase.FREE)
-        state.slowdown = None
+        limit_learning.reset(state.learning, state.queue)
+    limit_learning.update_limit(state.learning, state.queue, now)
     _publish(state, now)
     if state.stopping:
         return
     if message.server.phase is not Phase.READY:
-        _refuse_all(state, NotRun.LEAVING)
+        _refuse_all(state, NotRun.LEAVING, now)
         return
     if state.queue.refusal_reason is not None:
         _log_admission_change(
@@ -194,7 +206,7 @@
     if state.server is None or state.server.instance != message.instance:
         return
     if message.notice.slowdown is not None:
-        state.slowdown = message.notice.slowdown
+        state.learning.slowdown = message.notice.slowdown
         _publish(state, now)
     pace = state.queue.pace
     before = pacing.rate(pace, now)
@@ -219,14 +231,14 @@
     state: GateState, message: BackendUnreachable, now: float
 ) -> None:
     if state.server is not None and state.server.instance == message.instance:
-        _refuse_all(state, NotRun.ABSENT)
+        _refuse_all(state, NotRun.ABSENT, now)
 
 
-def _refuse_all(state: GateState, reason: NotRun) -> None:
+def _refuse_all(state: GateState, reason: NotRun, now: float) -> None:
     if state.queue.refusal_reason is not reason:
         instance = "" if state.server is None else state.server.instance
         _log_admission_change(state, Event.ADMISSION_STOPPED, instance, reason)
-    _send_verdicts(state, queueing.refuse_all(state.queue, reason))
+    _send_verdicts(state, queueing.refuse_all(state.queue, reason), now)
 
 
 def _log_admission_change(
@@ -252,22 +264,27 @@
 
 def _stop_admitting(state: GateState, message: StopAdmitting, now: float) -> None:
     state.stopping = True
-    _refuse_all(state, NotRun.LEAVING)
+    _refuse_all(state, NotRun.LEAVING, now)
 
 
 def _ask_active_count(state: GateState, message: AskActiveCount, now: float) -> None:
     message.reply.answer(len(state.queue.running) + state.queue.queued)
 
 
-def _send_verdicts(state: GateState, verdicts: Iterable[Verdict]) -> None:
+def _send_verdicts(state: GateState, verdicts: Iterable[Verdict], now: float) -> None:
     for verdict in verdicts:
+        if isinstance(verdict, Start):
+            limit_learning.record_start(
+                state.learning, state.queue, verdict.ticket, now
+            )
         reply = state.replies.pop(verdict.ticket, None)
         if reply is not None:
             reply.answer(verdict)
 
 
 def _advance_queue(state: GateState, now: float) -> None:
-    _send_verdicts(state, queueing.advance(state.queue, now))
+    limit_learning.update_limit(state.learning, state.queue, now)
+    _send_verdicts(state, queueing.advance(state.queue, now), now)
 
 
 def _publish(state: GateState, now: float) -> None:
@@ -279,7 +296,7 @@
         limit=limit,
         run_s=run_s,
         pressure_s=queueing.nested_wait_s(queue, now) + state.downstream_pressure_s,
-        slowdown=1.0 if state.slowdown is None else state.slowdown,
+        slowdown=state.learning.slowdown or 1.0,
     )
     needs_answers = queue.pace.phase is not PacePhase.FREE
     rate = pacing.rate(queue.pace, now)
@@ -289,8 +306,9 @@
             load,
             needs_answers,
             rate,
-            state.slowdown,
+            state.learning.slowdown,
             run_outcomes.route_limits(state.outcomes),
+            state.learning.state,
         )
     )
 
--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -18,7 +18,6 @@
 from _masticspoke.decisions.fleet.lineage import record_run_end
 from _masticspoke.decisions.fleet.lineage import record_run_start
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
-from _masticspoke.decisions.fleet.model import BackendNotice
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import Job
@@ -37,6 +36,7 @@
 from _masticspoke.fleet.guard.crash_watch import report_interrupted
 from _masticspoke.fleet.guard.crash_watch import report_success
 from _masticspoke.fleet.guard.gate import GateMessage
+from _masticspoke.fleet.guard.limit_learning import concerns_gate
 from _masticspoke.fleet.guard.run_log import flow_kind
 from _masticspoke.fleet.guard.run_log import wasted_record
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
@@ -71,8 +71,6 @@
 NO_REPLACED_HEADERS: frozenset[str] = frozenset()
 # Retry-After if the gate gives none.
 _DEFAULT_RETRY_S = 0.2
-# Change of the slowdown that the gate is not told, as a fraction of the one it knows.
-MAX_UNTOLD_CHANGE = 0.1
 # Lowest status that means a failure of the backend server.
 _MIN_FAILURE_STATUS = 500
 
@@ -202,6 +200,7 @@
     reply: Reply[Verdict] = Reply()
     busy = Refuse(ticket, NotRun.BUSY, _DEFAULT_RETRY_S)
     answered = False
+    shows_speed = False
     admitted = False
     outcome = RunOutcome.OTHER
     try:
@@ -221,6 +220,11 @@
         succeeded = answered and not _is_failure(result)
         expired = isinstance(result, Interrupted) and result.expired
         outcome = outcome_of(port.parents, job.request_id, succeeded, answered, expired)
+        shows_speed = (
+            isinstance(result, Answer)
+            and outcome is RunOutcome.SUCCEEDED
+            and job.request_id not in port.parents.with_call
+        )
         _log_outcome(port, job, result)
         if outcome is RunOutcome.WASTED:
             port.trail.tell(wasted_record(port.guard_state.value, job))
@@ -228,7 +232,7 @@
     finally:
         if admitted:
             record_run_end(port.parents, job.request_id)
-            port.gate.tell(RunEnded(ticket, answered, outcome))
+            port.gate.tell(RunEnded(ticket, answered, outcome, shows_speed))
         else:
             port.gate.tell(RequestNotRun(ticket))
 
@@ -328,7 +332,7 @@
         fields = {"instance": server.instance, "value": notice.unreadable}
         record = EventRecord(Event.RATE_LIMIT_UNREADABLE, fields, Importance.FAILURE)
         port.trail.tell(record)
-    elif _concerns_gate(port.guard_state.value, notice):
+    elif concerns_gate(port.guard_state.value, notice):
         port.gate.tell(BackendAnswered(server.instance, notice, sent_at))
     if notice.leaving and server.phase is Phase.READY:
         reply: Reply[bool] = Reply()
@@ -337,19 +341,6 @@
         )
 
 
-def _concerns_gate(state: GuardState, notice: BackendNotice) -> bool:
-    """Return whether a notice may change what the gate does.
-
-    The gate is told of a slowdown only when it has changed, since each answer names it.
-    """
-    if notice.rate_limit is not None or state.needs_answers:
-        return True
-    if notice.slowdown is None:
-        return False
-    known = state.slowdown
-    return known is None or abs(notice.slowdown - known) > MAX_UNTOLD_CHANGE * known
-
-
 async def _read_answer(
     upstream: UpstreamAnswer, stream_answer: StreamAnswer
 ) -> RunResult:
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from typing import final
 
+from _masticspoke.decisions.fleet.learned_limit import Move
 from _masticspoke.decisions.fleet.model import BackendNotice
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
@@ -123,11 +124,13 @@
 
     :param answered: whether the backend server answered, so that the run time counts.
     :param outcome: whether it succeeded, or failed with a nested request.
+    :param shows_speed: whether its run time is that of the backend server alone.
     """
 
     ticket: int
     answered: bool
     outcome: RunOutcome = RunOutcome.OTHER
+    shows_speed: bool = False
 
 
 @final
@@ -369,6 +372,16 @@
     reply: Reply[RegistrySnapshot]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class LearnedLimitState:
+    """The learned limit, its last move, and how run times grow with occupancy."""
+
+    value: float
+    last_move: Move
+    elasticity: float
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class GuardState:
@@ -381,6 +394,7 @@
     :param slowdown: latest that the backend server named; ``None`` if it named none.
     :param route_limits: limits on concurrent runs by route, if its runs failed
         with their nested requests.
+    :param learned_limit: ``None`` while no limit is learned.
     """
 
     server: BackendServer | None = None
@@ -389,3 +403,4 @@
     rate_limit: float | None = None
     slowdown: float | None = None
     route_limits: tuple[tuple[str, float], ...] = ()
+    learned_limit: LearnedLimitState | None = None
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -22,6 +22,7 @@
 from _masticspoke.fleet.dispatch.placer import PlacerState
 from _masticspoke.fleet.guard.gate import GateMessage
 from _masticspoke.fleet.guard.gate import GateState
+from _masticspoke.fleet.guard.limit_learning import LimitLearning
 from _masticspoke.fleet.guard.run_recorder import RunRecorderMessage
 from _masticspoke.fleet.guard.run_recorder import RunRecorderState
 from _masticspoke.fleet.knowledge.followers import CONNECT_TIMEOUT_S
@@ -118,6 +119,7 @@
     configuration: Latest[Configuration | None] = Latest(None)
     quota_queries: Mailbox[SendQuery] = Mailbox(_MAILBOX_CAPACITY)
     host = settings.nodes.host
+    learning = LimitLearning(settings.learned_limit, configuration)
     return FleetParts(
         settings=settings,
         dialect=dialect,
@@ -135,7 +137,7 @@
             settings.zone, settings.budget, Random(), gate, trail
         ),
         gate=gate,
-        gate_state=GateState(guard_state, trail),
+        gate_state=GateState(guard_state, trail, learning=learning),
         run_recorder=Mailbox(_MAILBOX_CAPACITY),
         run_recorder_state=RunRecorderState(),
         unsaved=Mailbox(_MAILBOX_CAPACITY),
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from typing import final
 
+from _masticspoke.decisions.fleet.learned_limit import Move
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.events import Event
 from _masticspoke.fleet.messages import GuardState
@@ -120,6 +121,16 @@
         ("pressure_s", load.pressure_s),
         ("rate_limit", guard_state.rate_limit or 0.0),
     )
+    learned = guard_state.learned_limit
+    if learned is not None:
+        gauges += (
+            ("learned", learned.value),
+            ("elasticity", learned.elasticity),
+            ("slowdown", load.slowdown),
+        )
+        for move in Move:
+            is_last = float(move is learned.last_move)
+            yield Sample(Metric.FLEET_LIMIT_MOVE, (move.value,), is_last)
     for quantity, value in gauges:
         yield Sample(Metric.FLEET_GUARD, (quantity,), value)
     for route, limit in guard_state.route_limits:
--- a/src/_masticspoke/fleet/settings.py
+++ b/src/_masticspoke/fleet/settings.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from _masticspoke.decisions.fleet.budget import BudgetBounds
+from _masticspoke.decisions.fleet.learned_limit import LearningMode
 from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.model import Address
 
@@ -33,6 +34,8 @@
     :param revocation_s: time after which a key that was taken away is refused at every
         node, in touch with the log or not; ``None`` if there is no such bound.
     :param memory_limit_bytes: memory that the process may use; ``None`` if unknown.
+    :param learned_limit: whether the concurrency limit of the local backend server is
+        learned.
     :param quota: bound on the requests of one organisation at all nodes together.
     """
 
@@ -50,5 +53,6 @@
     budget: BudgetBounds
     stop_timeout_s: float
     revocation_s: float | None = None
+    learned_limit: LearningMode = LearningMode.AUTO
     quota: QuotaBounds = field(default_factory=QuotaBounds)
     memory_limit_bytes: float | None = None
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -170,6 +170,12 @@
         "Part of the limits of a group of organisations that this keeper grants.",
         ("group",),
     )
+    FLEET_LIMIT_MOVE = MetricSpec(
+        "masticspoke_fleet_limit_move",
+        MetricType.GAUGE,
+        "Why the learned limit moved last: 1 for that reason.",
+        ("why",),
+    )
     FLEET_LINES_DROPPED = MetricSpec(
         "masticspoke_fleet_lines_dropped_total",
         MetricType.COUNTER,
--- a/src/_masticspoke/platform/settings.py
+++ b/src/_masticspoke/platform/settings.py
@@ -14,6 +14,7 @@
 
 from _masticspoke.border.addresses import parse_address
 from _masticspoke.decisions.fleet.budget import BudgetBounds
+from _masticspoke.decisions.fleet.learned_limit import LearningMode
 from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.errors import SettingsError
 from _masticspoke.fleet.settings import FleetSettings
@@ -54,6 +55,9 @@
             stop_timeout_s=bounds.get("grace_period_s", _DEFAULT_GRACE_S)
             - _CLOSING_RESERVE_S,
             revocation_s=_revocation_s(bounds),
+            learned_limit=LearningMode(
+                parser.get("guard", "learned_limit", fallback=LearningMode.AUTO)
+            ),
             quota=_quota(bounds),
             memory_limit_bytes=_memory_limit_bytes(parser),
         )
--- a/testing/fleet/test_backend_notices.py
+++ b/testing/fleet/test_backend_notices.py
@@ -217,3 +217,24 @@
             assert stats[desk.parts.settings.backend].load.slowdown == slowdown
 
     run_scenario(tmp_path, scenario)
+
+
+def test_limit_is_learned_only_from_the_first_fourth_figure_on(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ)
+        desk = await fleet.add("desk", slots=50)
+        await fleet.wait_until_synchronised()
+        desk.backend.notice = {"X-Backend-Load": "1,0,50"}
+        for _ in range(3):
+            assert (await fleet.ask(desk, "/read/1"))[0] == 200
+        assert desk.parts.guard_state.value.learned_limit is None
+        desk.backend.notice = {"X-Backend-Load": "1,0,50,100"}
+        for _ in range(3):
+            assert (await fleet.ask(desk, "/read/1"))[0] == 200
+
+        learned = desk.parts.guard_state.value.learned_limit
+        assert learned is not None
+        assert learned.value == 47
+        assert desk.parts.gate_state.queue.limit in range(39, 48)
+
+    run_scenario(tmp_path, scenario)
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from _masticspoke.decisions.fleet.learned_limit import LearningMode
 from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.errors import SettingsError
 from _masticspoke.model import Address
@@ -89,3 +90,16 @@
 def test_missing_file_is_a_settings_error(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match="template"):
         load_fleet_settings(tmp_path / "none.ini")
+
+
+def test_wrong_or_missing_mode_of_limit_learning(tmp_path: Path) -> None:
+    path = write_settings(tmp_path)
+    text = path.read_text("utf-8")
+    assert load_fleet_settings(path).learned_limit is LearningMode.AUTO
+    path.write_text(text.replace("learned_limit = auto", "learned_limit = off"))
+    assert load_fleet_settings(path).learned_limit is LearningMode.OFF
+    path.write_text(text.partition("[guard]")[0])
+    assert load_fleet_settings(path).learned_limit is LearningMode.AUTO
+    path.write_text(text.replace("learned_limit = auto", "learned_limit = maybe"))
+    with pytest.raises(SettingsError, match="maybe"):
+        load_fleet_settings(path)
