Head of a call chain: limits only where the limit of the server is learned

Cause: the limit on the runs of a route took effect at every deployment; what is new may act only where the configuration or a setting calls for it. Change: the gate asks run_outcomes only while learned_limit is in force (organisations, a slowdown in the load header, or the setting). The tests of wasted runs switch it on; a new one holds the default.

--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -122,16 +122,17 @@
         refusal = Refuse(message.ticket, reason, queueing.MIN_RETRY_S)
         message.reply.answer(refusal)
         return
+    limit_learning.update_limit(state.learning, state.queue, now)
+    learns = state.learning.limit is not None
     if not job.nested and not (
-        run_outcomes.admits(state.outcomes, job, now)
+        (not learns or run_outcomes.admits(state.outcomes, job, now))
         and admits(state.throttle, job.rank, now)
     ):
         refusal = Refuse(message.ticket, NotRun.PRESSURE, _PRESSURE_RETRY_S)
         message.reply.answer(refusal)
         return
-    limit_learning.update_limit(state.learning, state.queue, now)
     verdict = queueing.admit(state.queue, message.ticket, job, now)
-    if not isinstance(verdict, Refuse):
+    if learns and not isinstance(verdict, Refuse):
         run_outcomes.record_admitted(state.outcomes, message.ticket, job, now)
     if verdict is None:
         state.replies[message.ticket] = message.reply
--- a/testing/fleet/platform_fleet.py
+++ b/testing/fleet/platform_fleet.py
@@ -23,6 +23,7 @@
 from testing.standins.platform_operator import COLUMNS
 
 from _masticspoke.decisions.fleet.budget import BudgetBounds
+from _masticspoke.decisions.fleet.learned_limit import LearningMode
 from _masticspoke.fleet.parts import FleetParts
 from _masticspoke.fleet.parts import new_fleet_parts
 from _masticspoke.fleet.settings import FleetSettings
@@ -74,6 +75,7 @@
     ids: count[int] = field(default_factory=count)
     stop_timeout_s: float = 1.0
     revocation_s: float | None = None
+    learned_limit: LearningMode = LearningMode.AUTO
 
     def publish(
         self,
@@ -137,6 +139,7 @@
             budget=BudgetBounds(ratio=1.0, extra=1000.0),
             stop_timeout_s=self.stop_timeout_s,
             revocation_s=self.revocation_s,
+            learned_limit=self.learned_limit,
         )
         backend = PlatformBackend(
             host,
