--- a/testing/fleet/knowledge/test_relaying.py
+++ b/testing/fleet/knowledge/test_relaying.py
@@ -19,12 +19,14 @@
 from _masticspoke.border.follow import encode_follow_answer
 from _masticspoke.border.follow import FOLLOW_PATH
 from _masticspoke.border.follow import FollowAnswer
+from _masticspoke.decisions.fleet.freshness import accepted_s
 from _masticspoke.decisions.fleet.relays import MIN_ZONE_NODES
 from _masticspoke.decisions.fleet.suspects import CRASHES_TO_QUARANTINE
 from _masticspoke.decisions.fleet.suspects import Incarnation
 from _masticspoke.fleet.knowledge.crash_messages import BackendCrashed
 from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.model import Address
+from _masticspoke.supervise.clocks import boot_clock
 
 # The platform's tightest bound on a configuration, seconds.
 PROPAGATION_S = 2.0
@@ -211,3 +213,40 @@
         await runner.cleanup()
 
     run_scenario(tmp_path, scenario)
+
+
+def test_followers_of_a_relay_accept_keys_until_the_relay_is_cut_off(
+    tmp_path: Path,
+) -> None:
+    """They read nothing of the log themselves, so the relay must confirm versions."""
+    revocation_s = 4.0
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.revocation_s = revocation_s
+        await add_zone(fleet)
+        await asyncio.sleep(revocation_s)
+        assert len(followers(fleet)) == NODES - 1
+        ages_s = [
+            boot_clock() - n.parts.confirmation.value.at for n in followers(fleet)
+        ]
+        assert max(ages_s) < accepted_s(revocation_s)
+        for _ in range(40):
+            relay_at = relay_of(fleet).parts.confirmation.value.at
+            confirmed = [n.parts.confirmation.value.at for n in followers(fleet)]
+            # A follower can't know more than its relay; all have one clock here.
+            assert max(confirmed) <= relay_at
+            await asyncio.sleep(0.05)
+        # All are cut off: what they know grows old together.
+        fleet.log.faults.down = True
+        await asyncio.sleep(revocation_s)
+        ages_s = [boot_clock() - n.parts.confirmation.value.at for n in fleet.nodes]
+        assert min(ages_s) >= accepted_s(revocation_s)
+        fleet.log.faults.down = False
+        await wait_until(
+            lambda: all(
+                boot_clock() - n.parts.confirmation.value.at < accepted_s(revocation_s)
+                for n in fleet.nodes
+            )
+        )
+
+    run_scenario(tmp_path, scenario)
--- a/testing/fleet/test_keys.py
+++ b/testing/fleet/test_keys.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
@@ -14,6 +15,8 @@
 from testing.fleet.test_path import BOOK
 from testing.fleet.test_path import READ
 
+from _masticspoke.supervise.clocks import boot_clock
+
 KEYS = {"north": ["k-north"], "s\u00fcd 1": ["k-south", "k-other"]}
 OWN_KEY = {"X-Api-Key": "k-north"}
 
@@ -117,3 +120,113 @@
         await asyncio.gather(running, return_exceptions=True)
 
     run_scenario(tmp_path, scenario)
+
+
+async def statuses_until(
+    fleet: PlatformFleet, node: Node, wanted: tuple[int, str], timeout_s: float
+) -> None:
+    async with asyncio.timeout(timeout_s):
+        while await status_of(fleet, node, **OWN_KEY) != wanted:
+            await asyncio.sleep(0.02)
+
+
+def test_node_that_is_cut_off_refuses_keys_in_time_and_comes_back(
+    tmp_path: Path,
+) -> None:
+    """It can't know that the key has been removed meanwhile."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.revocation_s = 2.0
+        entry, desk = await add_desk(fleet, "desk")
+        host = entry.parts.settings.nodes.host
+        assert await status_of(fleet, entry, **OWN_KEY) == (200, "")
+        fleet.log.faults.unanswered = [host]
+        fleet.publish(READ, BOOK, keys={}, public=("book",))
+        await statuses_until(fleet, entry, (503, "stale-keys"), fleet.revocation_s)
+        before = len(arrivals(desk))
+        status, _, answer = await fleet.ask(entry, "/read/1", **OWN_KEY)
+        assert (status, answer.headers["Retry-After"]) == (503, "0.50")
+        assert await status_of(fleet, entry) == (401, "unauthorised")
+        assert len(arrivals(desk)) == before
+        assert await status_of(fleet, entry, "/book/1") == (200, "")
+        assert entry.parts.registry_state.stale_since is not None
+
+        fleet.publish(READ, BOOK, keys=KEYS, public=("book",))
+        fleet.log.faults.unanswered = []
+        fleet.log.silence_connections()
+        await statuses_until(fleet, entry, (200, ""), 5.0)
+        await wait_until(lambda: entry.parts.registry_state.stale_since is None)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_removed_key_is_refused_at_a_node_in_touch(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.revocation_s = 2.0
+        entry, _ = await add_desk(fleet, "board")
+        assert await status_of(fleet, entry, **OWN_KEY) == (200, "")
+        fleet.publish(READ, keys={"north": ["k-new"]})
+        await statuses_until(fleet, entry, (401, "unauthorised"), fleet.revocation_s)
+        assert await status_of(fleet, entry, **{"X-Api-Key": "k-new"}) == (200, "")
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_keys_are_accepted_without_the_log_where_revocation_has_no_bound(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        entry, _ = await add_desk(fleet, "desk")
+        fleet.log.faults.down = True
+        await asyncio.sleep(2.5)
+        assert await status_of(fleet, entry, **OWN_KEY) == (200, "")
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_node_that_was_suspended_refuses_keys_until_it_has_read_the_log(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its timers haven't run, and requests wait in its sockets."""
+    clock_gettime = time.clock_gettime
+    suspended_s = 0.0
+
+    def gettime(clock: int) -> float:
+        jump_s = suspended_s if clock == time.CLOCK_BOOTTIME else 0.0
+        return clock_gettime(clock) + jump_s
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        nonlocal suspended_s
+        monkeypatch.setattr(time, "clock_gettime", gettime)
+        fleet.revocation_s = 5.0
+        entry, desk = await add_desk(fleet, "desk")
+        assert await status_of(fleet, entry, **OWN_KEY) == (200, "")
+        fleet.log.faults.down = True
+        before = len(arrivals(desk))
+        suspended_s = 10.0
+        assert await status_of(fleet, entry, **OWN_KEY) == (503, "stale-keys")
+        assert len(arrivals(desk)) == before
+        fleet.log.faults.down = False
+        await statuses_until(fleet, entry, (200, ""), 5.0)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_slow_answer_of_the_log_confirms_the_time_before_it(tmp_path: Path) -> None:
+    """A version that was acknowledged while the answer was under way isn't in it."""
+    delay_s = 0.2  # before the log waits for a record, and again after that
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.revocation_s = 5.0
+        entry, _ = await add_desk(fleet, "desk")
+        fleet.log.faults.delay_ms = int(delay_s * 1000)
+        await asyncio.sleep(2.0)
+        confirmation = entry.parts.confirmation
+        ages_s: list[float] = []
+        while len(ages_s) < 3:
+            before = confirmation.value.at
+            await wait_until(lambda before=before: confirmation.value.at != before)
+            ages_s.append(boot_clock() - confirmation.value.at)
+        assert min(ages_s) > 2 * delay_s
+
+    run_scenario(tmp_path, scenario)
