--- a/src/_masticspoke/decisions/fleet/quota_tokens.py
+++ b/src/_masticspoke/decisions/fleet/quota_tokens.py
@@ -25,6 +25,8 @@
 MAX_WAIT_S = 0.15
 # Retry-After if no keeper responded, seconds.
 UNKNOWN_RETRY_S = 0.3
+# Shortest Retry-After, seconds; a time of 0 would ask for a retry at once.
+MIN_RETRY_S = 0.02
 # Time over which the retries of refused requests are spread, seconds. More would keep
 # callers away from an organisation whose demand has fallen again.
 MAX_SPREAD_S = 2.0
@@ -201,4 +203,4 @@
     account.refused_at = now
     spread_s = (account.refused / granted_per_s) % MAX_SPREAD_S
     account.refused += 1
-    return max(0.0, account.empty_until - now) + spread_s
+    return max(MIN_RETRY_S, account.empty_until - now) + spread_s
--- a/testing/fleet/quota/test_quota_nodes.py
+++ b/testing/fleet/quota/test_quota_nodes.py
@@ -39,8 +39,8 @@
     value = {
         "version": fleet.version + 5,
         "routes": {
-            "columns": ["name", "host", "path_prefix", "service"],
-            "rows": [["read", "shop.example", "/read/", "desk"]],
+            "columns": ["name", "host", "path_prefix", "service", "max_attempts"],
+            "rows": [["read", "shop.example", "/read/", "desk", 4]],
         },
         "tenants": {
             "columns": ["name", "api_keys", "rate_per_s", "burst"],
