Keys: age of the configuration as a metric; a relay of an earlier build

Cause: operators saw that keys are refused only once they were. Change: masticspoke_configuration_confirmed_age_seconds; a test that a relay which says nothing of its version is left where keys must be confirmed.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -286,7 +286,11 @@
         if counts is None:
             return Response(503, body=b"the trail does not answer\n")
         metrics = samples(
-            counts, parts.guard_state.value, parts.configuration.value, boot_clock()
+            counts,
+            parts.guard_state.value,
+            parts.configuration.value,
+            parts.confirmation.value,
+            boot_clock(),
         )
         headers = {"Content-Type": EXPOSITION_TYPE}
         body = encode_metrics(chain(metrics, await read_quota_samples(parts)))
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -8,8 +8,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from math import isfinite
 from typing import final
 
+from _masticspoke.decisions.fleet.freshness import Confirmation
 from _masticspoke.decisions.fleet.learned_limit import Move
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.events import Event
@@ -105,6 +107,7 @@
     counts: Counts,
     guard_state: GuardState,
     configuration: Configuration | None,
+    confirmation: Confirmation,
     now: float,
 ) -> Iterator[Sample | Summary]:
     """Yield the metrics that this node exposes."""
@@ -137,6 +140,8 @@
         yield Sample(Metric.FLEET_ROUTE_LIMIT, (route,), limit)
     version = 0 if configuration is None else configuration.version
     yield Sample(Metric.CONFIGURATION_VERSION, (), version)
+    if isfinite(confirmation.at):
+        yield Sample(Metric.CONFIGURATION_CONFIRMED_AGE, (), now - confirmation.at)
 
 
 def quota_samples(
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -187,6 +187,11 @@
         MetricType.GAUGE,
         "Version of the configuration in force at this node.",
     )
+    CONFIGURATION_CONFIRMED_AGE = MetricSpec(
+        "masticspoke_configuration_confirmed_age_seconds",
+        MetricType.GAUGE,
+        "Time since the configuration in force was known to be the newest.",
+    )
     CATALOGUE_VERSION = MetricSpec(
         "masticspoke_catalogue_version",
         MetricType.GAUGE,
--- a/testing/fleet/knowledge/test_relaying.py
+++ b/testing/fleet/knowledge/test_relaying.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from pathlib import Path
 from zlib import crc32
@@ -250,3 +251,52 @@
         )
 
     run_scenario(tmp_path, scenario)
+
+
+def test_relay_of_an_earlier_build_is_left_where_keys_must_be_confirmed(
+    tmp_path: Path,
+) -> None:
+    """It hears the log, but says nothing of its version, so keys would be refused."""
+    revocation_s = 2.0
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        asked = 0
+
+        async def answer_as_before(request: web.BaseRequest) -> web.Response:
+            nonlocal asked
+            if request.path != FOLLOW_PATH:
+                return web.Response(status=404)
+            asked += 1
+            document = json.loads(
+                encode_follow_answer(FollowAnswer(1, asked, b"", (), 0))
+            )
+            del document["version"], document["confirmed_age_ms"]
+            return web.json_response(document)
+
+        fleet.revocation_s = revocation_s
+        fleet.publish(READ)
+        node = await fleet.add("desk")
+        await fleet.wait_until_synchronised()
+        runner = web.ServerRunner(web.Server(answer_as_before))
+        await runner.setup()
+        peers = [
+            server(address=Address(f"127.0.2.{230 + number}", 80), zone="z1")
+            for number in range(MIN_ZONE_NODES)
+        ]
+        for peer in peers:
+            port = node.parts.settings.nodes.port
+            await web.TCPSite(runner, peer.address.host, port).start()
+        node.parts.relay_state.host = max(
+            (peer.address.host for peer in peers), key=lambda h: crc32(h.encode())
+        )
+        node.parts.registry.tell(ServersReceived(tuple(peers), "test"))
+        await wait_until(lambda: asked > 0)
+        for _ in range(60):
+            age_s = boot_clock() - node.parts.confirmation.value.at
+            assert age_s < accepted_s(revocation_s)
+            await asyncio.sleep(0.05)
+        assert node.parts.reads_log.is_on
+        assert asked <= 8
+        await runner.cleanup()
+
+    run_scenario(tmp_path, scenario)
--- a/testing/fleet/test_keys.py
+++ b/testing/fleet/test_keys.py
@@ -160,6 +160,22 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_age_of_the_configuration_is_exposed(tmp_path: Path) -> None:
+    """Operators can act before a node refuses keys."""
+
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.revocation_s = 5.0
+        entry, _ = await add_desk(fleet, "desk")
+        url = f"http://{entry.parts.settings.metrics}/metrics"
+        async with fleet.session.get(url) as answer:
+            lines = (await answer.text()).splitlines()
+        name = "masticspoke_configuration_confirmed_age_seconds "
+        (value,) = [line[len(name) :] for line in lines if line.startswith(name)]
+        assert 0.0 <= float(value) < 4.5
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_removed_key_is_refused_at_a_node_in_touch(tmp_path: Path) -> None:
     async def scenario(fleet: PlatformFleet) -> None:
         fleet.revocation_s = 2.0
