--- a/src/_masticspoke/decisions/fleet/log_rate_limit.py
+++ b/src/_masticspoke/decisions/fleet/log_rate_limit.py
@@ -26,6 +26,12 @@
     ROUTINE = "routine"
 
 
+# Reading an enumeration member's value is a Python call for each line.
+_RATE_BY_IMPORTANCE = {
+    importance: LINES_PER_S[importance.value] for importance in Importance
+}
+
+
 @final
 @dataclass(slots=True)
 class _Bucket:
@@ -47,8 +53,10 @@
 
     Takes a token from its bucket if so, and counts the line as dropped if not.
     """
-    rate = LINES_PER_S[importance.value]
-    bucket = limit.buckets.setdefault(importance, _Bucket(rate * BURST_S, now))
+    rate = _RATE_BY_IMPORTANCE[importance]
+    bucket = limit.buckets.get(importance)
+    if bucket is None:
+        bucket = limit.buckets[importance] = _Bucket(rate * BURST_S, now)
     bucket.tokens = min(
         rate * BURST_S, bucket.tokens + (now - bucket.updated_at) * rate
     )
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -30,6 +30,8 @@
 _LATENCY_WINDOW_S = 60.0
 # Limit on the series of all counters; any further labels are counted as ``other``.
 _MAX_SERIES = 2_048
+# Reading an enumeration member's value is a Python call for each event.
+_NUMBER_BY_EVENT = {event: str(event.value.number) for event in Event}
 
 
 @final
@@ -46,7 +48,7 @@
 
 def count_event(counts: Counts, record: EventRecord, now: float) -> None:
     """Count an event, whether or not its log line is written."""
-    _increment(counts, Metric.EVENTS, str(record.event.value.number))
+    _increment(counts, Metric.EVENTS, _NUMBER_BY_EVENT[record.event])
     count_details = _COUNTER_BY_EVENT.get(record.event)
     if count_details is not None:
         count_details(counts, record, now)
--- a/src/_masticspoke/http_messages.py
+++ b/src/_masticspoke/http_messages.py
@@ -58,7 +58,7 @@
 
 
 @final
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Request:
     """A request from a client.
 
--- a/src/_masticspoke/http_pool.py
+++ b/src/_masticspoke/http_pool.py
@@ -76,6 +76,12 @@
         :return: what was read, and whether the body has ended.
         :raises aiohttp.ClientError: when the connection fails.
         """
+        content = self.content
+        if content.is_eof() and content.exception() is None:
+            # Most answers arrive in one segment; waiting for data and then for the end
+            # would cost two more calls each.
+            whole = content.read_nowait()
+            return whole, len(whole) <= max_bytes
         start = bytearray()
         while len(start) <= max_bytes:
             chunk = await self.content.readany()
@@ -135,7 +141,10 @@
     async def __aenter__(self) -> UpstreamAnswer:
         """Send the request and return the head of its answer."""
         try:
-            connection = await self._pool.acquire(self._request.address, self._left_s())
+            address = self._request.address
+            connection = self._pool.pop_idle(address)
+            if connection is None:
+                connection = await self._pool.acquire(address, self._left_s())
             self._connection = connection
             if not self._expired:
                 self._upstream = await _send(self._pool, connection, self._request)
@@ -236,12 +245,13 @@
         :param timeout_s: seconds to establish a new one, if less than the pool allows.
         :raises NotConnectedError: when no connection can be established.
         """
-        connection = self._pop_idle(address)
+        connection = self.pop_idle(address)
         if connection is None:
             return await self._connect(address, timeout_s)
         return connection
 
-    def _pop_idle(self, address: Address) -> ClientConnection | None:
+    def pop_idle(self, address: Address) -> ClientConnection | None:
+        """Return an idle connection, if there is one."""
         idle = self._idle.get(address)
         cutoff = boot_clock() - KEEP_IDLE_S
         while idle:
