Senders choose by expected time where limits are learned

The run time that a guard reports is a mean over the routes that it serves, so a sender took a server with longer requests for a slow one, and followed a slowdown only as that mean moved. A sender now learns the speed of each server from its answers, each against the usual time of its route, and weighs the slowdown of its last report, requests under way, warm-up and the time between zones. Off where limits aren't learned: then choices are as before.

--- a/bench/uneven/server.py
+++ b/bench/uneven/server.py
@@ -63,6 +63,7 @@
     """A server that serves all its runs at one common speed.
 
     :param done_work: work that a run since the start would have received, as of ``at``.
+    :param slowed: slowdown since then.
     :param runs: work at which each run ends, and its ticket.
     """
 
@@ -73,16 +74,18 @@
     done_work: float = 0.0
     at: float = 0.0
     runs: list[tuple[float, int]] = field(default_factory=list)
+    slowed: float = 1.0
 
-    def rate(self, now: float) -> float:
-        """Return the work per second that each run receives."""
-        factor = self.knee(len(self.runs) / self.slots) * self.slowdown(now)
-        return self.speed / factor
+    @property
+    def rate(self) -> float:
+        """Work per second that each run receives."""
+        return self.speed / (self.knee(len(self.runs) / self.slots) * self.slowed)
 
     def advance(self, now: float) -> None:
         """Let all runs receive work until ``now``."""
-        self.done_work += (now - self.at) * self.rate(self.at)
+        self.done_work += (now - self.at) * self.rate
         self.at = now
+        self.slowed = self.slowdown(now)
 
     def start(self, ticket: int, work_s: float, now: float) -> None:
         """Start a run."""
@@ -94,7 +97,7 @@
         if not self.runs:
             return inf
         left = max(0.0, self.runs[0][0] - self.done_work)
-        return self.at + left / self.rate(self.at)
+        return self.at + left / self.rate
 
     def ended(self, now: float) -> Iterator[int]:
         """Yield the tickets of the runs that have ended."""
--- a/src/_masticspoke/decisions/fleet/placing.py
+++ b/src/_masticspoke/decisions/fleet/placing.py
@@ -10,9 +10,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from random import Random
 from typing import final
 
+from _masticspoke.decisions.fleet import expected_time
+from _masticspoke.decisions.fleet.expected_time import Speed
+from _masticspoke.decisions.fleet.expected_time import Usual
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import GuardLoad
 from _masticspoke.decisions.fleet.model import NotRun
@@ -65,6 +69,8 @@
     :param failure_ratio: smoothed ratio of failed requests at ``failure_ratio_at``.
     :param ejected_until: time before which the server is not used.
     :param ejection_s: length of the last ejection; 0 after a success.
+    :param speed: how fast its answers are, against the usual times of their routes.
+    :param expected_wait_s: wait that was expected when it was compared last.
     """
 
     outstanding: int = 0
@@ -75,6 +81,8 @@
     failure_ratio_at: float = 0.0
     ejected_until: float = 0.0
     ejection_s: float = 0.0
+    speed: Speed = field(default_factory=Speed)
+    expected_wait_s: float = 0.0
 
 
 @final
@@ -83,10 +91,18 @@
     """Load and failures of each server, as known to this node.
 
     :param zone: availability zone of this node.
+    :param weighs_speed: whether servers are chosen by their expected time.
+    :param slowdown_named: whether a report has named a slowdown other than 1.
+    :param usual: usual time of answers, by route.
+    :param unix_offset_s: Unix time less the time of the boot clock.
     """
 
     zone: str
     stats: dict[Address, ServerStats] = field(default_factory=dict)
+    weighs_speed: bool = False
+    slowdown_named: bool = False
+    usual: Usual = field(default_factory=Usual)
+    unix_offset_s: float = 0.0
 
 
 def choose(
@@ -95,6 +111,7 @@
     tried: Collection[Address],
     now: float,
     random: Random,
+    route: str = "",
 ) -> BackendServer | None:
     """Return the server to send to; ``None`` if all were tried or are ejected.
 
@@ -102,6 +119,9 @@
     """
     in_zone = [server for server in servers if server.zone == placing.zone]
     sample_in_zone = _usable_sample(placing, in_zone, tried, now, random)
+    if placing.weighs_speed:
+        sample = _usable_sample(placing, servers, tried, now, random)
+        return _fastest(placing, sample + sample_in_zone, route, now, random)
     best_in_zone = _cheapest(placing, sample_in_zone, now, random)
     if best_in_zone is not None and _is_preferred(placing, best_in_zone, now):
         return best_in_zone
@@ -154,6 +174,60 @@
     )
 
 
+def _fastest(
+    placing: PlacementState,
+    servers: Sequence[BackendServer],
+    route: str,
+    now: float,
+    random: Random,
+) -> BackendServer | None:
+    """Return the server with the shortest expected time, in this zone if it is near."""
+    usual_s = expected_time.usual_s(placing.usual, route)
+    utilisation = placing.usual.utilisation.get(route, 0.0)
+    best = near = None
+    best_s = near_s = inf
+    for server in servers:
+        time_s = _expected_s(placing, server, usual_s, utilisation, now)
+        time_s *= 1.0 + expected_time.JITTER * random.random()
+        if time_s < best_s:
+            best, best_s = server, time_s
+        if time_s < near_s and server.zone == placing.zone:
+            near, near_s = server, time_s
+    if near is not None and not expected_time.leaves_zone(near_s, best_s, usual_s):
+        return near
+    return best
+
+
+def _expected_s(
+    placing: PlacementState,
+    server: BackendServer,
+    usual_s: float,
+    utilisation: float,
+    now: float,
+) -> float:
+    stats = _stats_of(placing, server.address)
+    load, limit = stats.load, _limit(stats, server)
+    weight = 0.0
+    if stats.reported_at is not None:
+        weight = max(0.0, 1.0 - (now - stats.reported_at) / MAX_REPORT_AGE_S)
+    reported = load.running + load.queued + stats.sent_since_report
+    # A server without a recent report is not taken to be empty: each node would send
+    # there at once.
+    requests = weight * reported + (1.0 - weight) * utilisation * limit
+    requests = max(float(stats.outstanding), requests)
+    slowdown = 1.0 + weight * (load.slowdown - 1.0)
+    is_cold = (now + placing.unix_offset_s) * 1000 < server.warm_ms
+    run_s = expected_time.run_s(stats.speed, usual_s, slowdown, is_cold, now)
+    if stats.reported_at is None and (
+        stats.outstanding >= expected_time.MAX_UNKNOWN_REQUESTS
+    ):
+        run_s *= 1.0 + stats.outstanding
+    stats.expected_wait_s = expected_time.wait_s(requests, limit, load.run_s, slowdown)
+    time_s = run_s * (1.0 + expected_time.crowding(requests, limit))
+    failure_s = _failure_ratio(stats, now) * FAILURE_COST_S
+    return time_s + stats.expected_wait_s + failure_s
+
+
 def expected_cost_s(
     placing: PlacementState, server: BackendServer, now: float
 ) -> float:
@@ -221,17 +295,33 @@
     failed: bool | None,
     load: GuardLoad | None,
     now: float,
+    route: str = "",
+    answered_after_s: float | None = None,
 ) -> None:
     """Record the end of a request that was sent to ``address``.
 
     :param failed: whether the server failed; ``None`` leaves its failure ratio and
         ejection length as they are.
     :param load: report that came with the answer, if any.
+    :param answered_after_s: time from the send to the answer; ``None`` without one.
     """
     stats = _stats_of(placing, address)
     stats.outstanding = max(0, stats.outstanding - 1)
     if load is not None:
         stats.load, stats.reported_at, stats.sent_since_report = load, now, 0
+        if load.slowdown != 1.0:
+            placing.slowdown_named = True
+    if failed is False and answered_after_s is not None and placing.weighs_speed:
+        time_s = max(answered_after_s / 2, answered_after_s - stats.expected_wait_s)
+        expected_time.record_answer(
+            placing.usual,
+            stats.speed,
+            route,
+            time_s,
+            stats.load.slowdown,
+            (stats.load.running + stats.load.queued) / max(1, stats.load.limit),
+            now,
+        )
     if failed is None:
         return
     weight = FAILURE_WEIGHT if failed else SUCCESS_WEIGHT
--- a/src/_masticspoke/fleet/dispatch/placer.py
+++ b/src/_masticspoke/fleet/dispatch/placer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
@@ -63,6 +64,8 @@
     those that it was sent before.
 
     :param ready_by_service: backend servers that accept requests, by service.
+    :param learns: whether the deployment calls for learned limits, by which servers are
+        then chosen too.
     :param node_count: number of nodes that share the retry budget: one for each backend
         server that accepts requests, and at least 1.
     :param last_called_at: time at which the last nested call ended, by service.
@@ -74,6 +77,7 @@
     random: Random
     gate: Mailbox[GateMessage]
     trail: Mailbox[TrailMessage]
+    learns: Callable[[bool], bool] = lambda named: False
     ready_by_service: dict[str, tuple[BackendServer, ...]] = field(default_factory=dict)
     node_count: int = 1
     last_called_at: dict[str, float] = field(default_factory=dict)
@@ -87,19 +91,25 @@
     random: Random,
     gate: Mailbox[GateMessage],
     trail: Mailbox[TrailMessage],
+    learns: Callable[[bool], bool],
+    unix_offset_s: float,
 ) -> PlacerState:
     """Return the state of a node's placer before it knows any server.
 
     :param zone: availability zone of this node.
     :param bounds: retry budget of the whole fleet.
+    :param learns: whether the deployment calls for learned limits; takes whether a
+        report named a slowdown.
+    :param unix_offset_s: Unix time less the time of the boot clock.
     """
     return PlacerState(
-        PlacementState(zone),
+        PlacementState(zone, unix_offset_s=unix_offset_s),
         RouteCounts(random.random()),
         Budget(bounds),
         random,
         gate,
         trail,
+        learns,
     )
 
 
@@ -123,7 +133,9 @@
         message.reply.answer(NoPlacement(service, "stopping"))
         return
     servers = state.ready_by_service.get(service, ())
-    server = choose(state.placing, servers, message.tried, now, state.random)
+    placing = state.placing
+    placing.weighs_speed = state.learns(placing.slowdown_named)
+    server = choose(placing, servers, message.tried, now, state.random, route.name)
     if server is None:
         reason = "no-server" if not servers else "none-usable"
         message.reply.answer(NoPlacement(service, reason))
@@ -142,7 +154,15 @@
 
 
 def _send_ended(state: PlacerState, message: SendEnded, now: float) -> None:
-    record_end(state.placing, message.address, message.failed, message.load, now)
+    record_end(
+        state.placing,
+        message.address,
+        message.failed,
+        message.load,
+        now,
+        message.route,
+        message.answered_after_s,
+    )
     if message.answered_after_s is not None:
         record_answer(state.answer_times, message.route, message.answered_after_s)
     if message.not_run is not None and record_unusable(
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from itertools import count
 from random import Random
 from typing import final
 
 from _masticspoke.connections import Connections
+from _masticspoke.decisions.fleet import learned_limit
 from _masticspoke.decisions.fleet.body_memory import body_limit_bytes
 from _masticspoke.decisions.fleet.body_memory import BodyMemory
 from _masticspoke.decisions.fleet.freshness import Confirmation
@@ -41,6 +43,7 @@
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.settings import FleetSettings
 from _masticspoke.http_pool import HttpPool
+from _masticspoke.supervise.clocks import boot_clock
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.planned_stop import PlannedStop
@@ -120,6 +123,14 @@
     quota_queries: Mailbox[SendQuery] = Mailbox(_MAILBOX_CAPACITY)
     host = settings.nodes.host
     learning = LimitLearning(settings.learned_limit, configuration)
+
+    def learns(slowdown_named: bool) -> bool:
+        """Return whether the deployment calls for learned limits."""
+        slowdown = 1.0 if slowdown_named else guard_state.value.slowdown
+        return learned_limit.learns(
+            settings.learned_limit, slowdown, configuration.value
+        )
+
     return FleetParts(
         settings=settings,
         dialect=dialect,
@@ -134,7 +145,13 @@
         registry=Mailbox(_MAILBOX_CAPACITY),
         placer=Mailbox(_MAILBOX_CAPACITY),
         placer_state=new_placer_state(
-            settings.zone, settings.budget, Random(), gate, trail
+            settings.zone,
+            settings.budget,
+            Random(),
+            gate,
+            trail,
+            learns,
+            time.time() - boot_clock(),
         ),
         gate=gate,
         gate_state=GateState(guard_state, trail, learning=learning),
