--- a/testing/decisions/fleet/test_fair_queue.py
+++ b/testing/decisions/fleet/test_fair_queue.py
@@ -162,3 +162,36 @@
 
     started = [waiting_lanes.dequeue(lanes, False) for _ in range(4)]
     assert [w.ticket for w in started if w is not None] == [0, 1, 2, 3]
+
+
+# Guards against counts of flows that go wrong when requests come, go and expire.
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["enter", "serve", "expire"]),
+            st.sampled_from("abcde"),
+            st.floats(0.0, 1.0),
+        ),
+        max_size=80,
+    )
+)
+def test_counts_hold_in_any_order_of_events(
+    events: list[tuple[str, str, float]],
+) -> None:
+    queue = FairQueue()
+    waiting: dict[int, str] = {}
+    for ticket, (event, flow, cost_s) in enumerate(events):
+        if event == "enter":
+            enqueue(queue, ticket, flow, cost_s)
+            waiting[ticket] = flow
+        elif event == "serve":
+            served = dequeue(queue)
+            assert (served is None) == (not waiting)
+            waiting.pop(served or 0, None)
+        else:
+            expired = next((t for t, f in waiting.items() if f == flow), None)
+            if expired is not None:
+                remove(queue, expired)
+                del waiting[expired]
+        assert len(queue) == len(waiting)
+        assert queue.active_flows == len(set(waiting.values()))
