Log rollback: read anew, write again, and ask peers before relying on the log

Cause: a 410 was answered with max(oldest, offset), so a follower whose log was restored from an older copy stayed beyond the end and later skipped records; states, leaves and crash reports that the log had acknowledged were lost for good; a process that started then took an older configuration, and took a server for one that stays although its leave had been acknowledged.

Change: the era (Store-Era) of each answer of the log is read, also of refusals, and nodes tell it to each other (optional field `era`). A late answer of an older era counts for nothing. Where the log tells its era, a fresh process uses what the log shows once a round of exchanges has ended, and the newest of both. Exchanges come early when the log ceases to answer or is restored. A read that shows an older version than the one in force confirms it only after peers were asked (may_confirm).

--- a/src/_masticspoke/border/follow.py
+++ b/src/_masticspoke/border/follow.py
@@ -11,6 +11,8 @@
 from _masticspoke.border.backend_state import state_to_list
 from _masticspoke.border.crash_report import report_from_list
 from _masticspoke.border.crash_report import report_to_list
+from _masticspoke.border.era_field import era_field
+from _masticspoke.border.era_field import era_of
 from _masticspoke.border.json_values import MALFORMED
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -52,6 +54,8 @@
     :param confirmed_age_ms: time since that was known to be the newest version, rounded
         up, milliseconds; ``None`` if it never was. A relay of an earlier build does not
         say.
+    :param era: newest era of the log that the relay knows; ``None`` if it knows or
+        tells none.
     """
 
     relay: int
@@ -62,6 +66,7 @@
     crash_reports: tuple[CrashReport, ...] = ()
     version: int = 0
     confirmed_age_ms: int | None = None
+    era: int | None = None
 
 
 def encode_follow_request(message: FollowRequest) -> bytes:
@@ -92,6 +97,7 @@
             "crashes": [report_to_list(report) for report in message.crash_reports],
             "version": message.version,
             "confirmed_age_ms": message.confirmed_age_ms,
+            **era_field(message.era),
         },
         separators=(",", ":"),
     ).encode()
@@ -117,6 +123,7 @@
             tuple(report for report in reports if report is not None),
             whole_number(document.get("version", 0)),
             None if confirmed_age_ms is None else whole_number(confirmed_age_ms),
+            era_of(document),
         )
     except MALFORMED:
         return None
--- a/src/_masticspoke/border/sync.py
+++ b/src/_masticspoke/border/sync.py
@@ -11,6 +11,8 @@
 from _masticspoke.border.backend_state import state_to_list
 from _masticspoke.border.crash_report import report_from_list
 from _masticspoke.border.crash_report import report_to_list
+from _masticspoke.border.era_field import era_field
+from _masticspoke.border.era_field import era_of
 from _masticspoke.border.json_values import MALFORMED
 from _masticspoke.border.json_values import whole_number
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -32,6 +34,8 @@
     :param servers: states that the receiver may lack.
     :param crash_reports: crash reports that the receiver may lack; a node of an earlier
         build sends none.
+    :param era: newest era of the log that the sender knows; ``None`` if it knows or
+        tells none.
     """
 
     version: int
@@ -39,6 +43,7 @@
     raw: bytes
     servers: tuple[BackendServer, ...]
     crash_reports: tuple[CrashReport, ...] = ()
+    era: int | None = None
 
 
 def encode_sync(message: SyncMessage) -> bytes:
@@ -50,6 +55,7 @@
             "configuration": base64.b64encode(message.raw).decode(),
             "servers": [state_to_list(server) for server in message.servers],
             "crashes": [report_to_list(report) for report in message.crash_reports],
+            **era_field(message.era),
         },
         separators=(",", ":"),
     ).encode()
@@ -70,6 +76,7 @@
             base64.b64decode(document["configuration"]),
             tuple(state for state in states if state is not None),
             tuple(report for report in reports if report is not None),
+            era_of(document),
         )
     except MALFORMED:
         return None
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -89,6 +89,7 @@
     KEEPER_SILENT = EventSpec(4301, "WARNING", "keeper of quotas does not respond")
     KEEPER_RESPONDS = EventSpec(4302, "INFO", "keeper of quotas responds again")
     QUOTA_REACHED = EventSpec(4303, "INFO", "organisation has reached its limit")
+    LOG_RESTORED = EventSpec(4209, "WARNING", "log restored from an older copy")
     LINES_DROPPED = EventSpec(4901, "WARNING", "log lines dropped")
     MEMBER_SILENT = EventSpec(3005, "WARNING", "member found silent by two nodes")
 
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -46,6 +46,7 @@
 from _masticspoke.fleet.knowledge.relaying import relay_chooser
 from _masticspoke.fleet.knowledge.relaying import relay_follower
 from _masticspoke.fleet.knowledge.relaying import RelayPort
+from _masticspoke.fleet.knowledge.restore_watch import restore_watch
 from _masticspoke.fleet.knowledge.sync import sync_handler
 from _masticspoke.fleet.knowledge.sync import sync_task
 from _masticspoke.fleet.knowledge.sync import SyncPort
@@ -108,6 +109,8 @@
         parts.trail,
         parts.dialect.configuration_stream,
         parts.dialect.servers_stream,
+        parts.eras,
+        parts.log_answers,
         parts.confirmation,
         settings.revocation_s,
     )
@@ -130,6 +133,7 @@
             clock=boot_clock,
         ),
         on_configuration(log_values),
+        parts.eras,
     )
     states_follower = keyed_follower(
         parts.registry,
@@ -142,6 +146,7 @@
             clock=boot_clock,
         ),
         on_states(log_values),
+        parts.eras,
     )
     writer = states_writer(
         parts.unsaved,
@@ -149,6 +154,7 @@
         parts.registry,
         settings.log,
         parts.dialect.servers_stream,
+        parts.eras,
     )
     chooser = relay_chooser(
         parts.relay_chooser,
@@ -165,6 +171,10 @@
         ChildSpec("states_writer", writer),
         ChildSpec("relay_chooser", chooser),
         ChildSpec("relay_follower", relay_follower(relay_port(parts), Random())),
+        ChildSpec(
+            "restore_watch",
+            restore_watch(parts.eras, parts.registry, parts.trail, Random()),
+        ),
         ChildSpec("sync", sync_task(sync_port(parts), Random())),
     )
     return supervisor("knowledge", children, boot_clock)
@@ -180,6 +190,8 @@
         settings.nodes.host,
         settings.seeds,
         settings.nodes.port,
+        parts.eras,
+        parts.log_answers,
     )
 
 
@@ -194,6 +206,7 @@
         parts.stop,
         parts.relay_state.waits,
         boot_clock,
+        parts.eras,
     )
 
 
--- a/src/_masticspoke/fleet/knowledge/followers.py
+++ b/src/_masticspoke/fleet/knowledge/followers.py
@@ -19,8 +19,10 @@
 from _masticspoke.border.crash_report import report_key
 from _masticspoke.connections import open_session
 from _masticspoke.decisions.backoff import pause_after
+from _masticspoke.decisions.fleet.log_era import MAX_SPREAD_S
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.suspects import CrashReport
+from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
@@ -97,11 +99,13 @@
     log: Address,
     following: Following,
     on_read: OnRead,
+    eras: EraWatch,
 ) -> ChildBody:
     """Return the body of a task that follows a keyed stream.
 
-    After each fault the task begins with the newest value of each key, so that it
-    never depends on records that the log has dropped.
+    After each fault, and after each restore of the log from an older copy, the task
+    begins with the newest value of each key, so that it never depends on records that
+    the log has dropped.
 
     :param on_read: gets the values of each read, some of them more than once.
     """
@@ -109,8 +113,8 @@
     async def run(life: Lifecycle) -> None:
         life.mark_started()
         async with open_session(CONNECT_TIMEOUT_S) as session:
-            client = LogClient(session, log, LOG_TIMEOUT_S)
-            await _follow_until_cancelled(registry, client, following, on_read)
+            client = LogClient(session, log, LOG_TIMEOUT_S, eras.answered)
+            await _follow_until_cancelled(registry, client, following, on_read, eras)
 
     return run
 
@@ -120,15 +124,20 @@
     client: LogClient,
     following: Following,
     on_read: OnRead,
+    eras: EraWatch,
 ) -> None:
     random = Random()
     failures = 0
+    changes = eras.changes
     while True:
         if not following.active.is_on:
             registry.tell(LogNotRead(following.stream))
             await following.active.wait_on()
             failures = 0
-        fault, log_answered = await _follow(registry, client, following, on_read)
+        if eras.changes != changes:
+            changes = eras.changes
+            await asyncio.sleep(random.uniform(0.0, MAX_SPREAD_S))
+        fault, log_answered = await _follow(registry, client, following, on_read, eras)
         if fault is None:
             continue
         failures = 1 if log_answered else failures + 1
@@ -143,12 +152,14 @@
     client: LogClient,
     following: Following,
     on_read: OnRead,
+    eras: EraWatch,
 ) -> tuple[LogFault | None, bool]:
-    """Follow a stream until a fault, or until it need not be followed.
+    """Follow a stream until a fault, a restore, or until it need not be followed.
 
     :return: the fault, and whether the newest values had been read before it.
     """
     stream = following.stream
+    changes = eras.changes
     sent_at = following.clock()
     newest = await read_newest(client, stream)
     if isinstance(newest, LogFault):
@@ -160,11 +171,17 @@
     while following.active.is_on:
         wait_s = following.read_wait_s()
         sent_at = following.clock()
-        result = await read(poll_client, stream, offset, wait_s)
+        try:
+            async with eras.interrupting(changes):
+                result = await read(poll_client, stream, offset, wait_s)
+        except TimeoutError:
+            return None, True  # the log was restored
+        if eras.changes != changes:
+            return None, True
         if isinstance(result, LogFault):
             return result, True
         if not result.records and result.next_offset != offset:
-            # The log no longer retains the records at this offset.
+            # The log no longer retains the records at this offset, or was restored.
             return LogFault.OFFSET_MISMATCH, True
         registry.tell(LogHealth(stream, None))
         on_read(KeyedRead(_pairs(result), False, sent_at))
@@ -199,6 +216,7 @@
     registry: Mailbox[RegistryMessage],
     log: Address,
     stream: str,
+    eras: EraWatch,
 ) -> ChildBody:
     """Return the body of the task that appends this node's states and crash reports.
 
@@ -209,7 +227,7 @@
     async def run(life: Lifecycle) -> None:
         life.mark_started()
         async with open_session(CONNECT_TIMEOUT_S) as session:
-            client = LogClient(session, log, LOG_TIMEOUT_S)
+            client = LogClient(session, log, LOG_TIMEOUT_S, eras.answered)
             await _append_until_cancelled(inbox, state, registry, client, stream)
 
     return run
--- a/src/_masticspoke/fleet/knowledge/log_values.py
+++ b/src/_masticspoke/fleet/knowledge/log_values.py
@@ -17,8 +17,8 @@
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.followers import KeyedRead
 from _masticspoke.fleet.knowledge.followers import OnRead
-from _masticspoke.fleet.knowledge.registry import LOG_SOURCE
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
+from _masticspoke.fleet.knowledge.registry_restore import LOG_SOURCE
 from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import ServersReceived
@@ -64,7 +64,7 @@
             port.registry.tell(ConfigurationReceived(configuration, raw, LOG_SOURCE))
         if newest is not None:
             # The registry handles it after the version itself.
-            port.registry.tell(VersionConfirmed(newest, read.sent_at))
+            port.registry.tell(VersionConfirmed(newest, read.sent_at, True))
 
     return on_read
 
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from _masticspoke.decisions.fleet import members
+from _masticspoke.decisions.fleet.log_era import may_rely_on_log
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.events import Event
@@ -22,6 +23,10 @@
 from _masticspoke.fleet.knowledge.registry_news import answer_held
 from _masticspoke.fleet.knowledge.registry_news import ask_news
 from _masticspoke.fleet.knowledge.registry_news import ask_registry_snapshot
+from _masticspoke.fleet.knowledge.registry_restore import hold_unconfirmed
+from _masticspoke.fleet.knowledge.registry_restore import log_restored
+from _masticspoke.fleet.knowledge.registry_restore import LOG_SOURCE
+from _masticspoke.fleet.knowledge.registry_restore import may_use_first
 from _masticspoke.fleet.knowledge.registry_state import answer_ages_ms
 from _masticspoke.fleet.knowledge.registry_state import RegistryPort
 from _masticspoke.fleet.knowledge.registry_state import RegistryState
@@ -38,6 +43,8 @@
 from _masticspoke.fleet.messages import LocalCandidate
 from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.messages import LogNotRead
+from _masticspoke.fleet.messages import LogRestored
+from _masticspoke.fleet.messages import PeersAsked
 from _masticspoke.fleet.messages import ServersChanged
 from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.fleet.messages import Unsaved
@@ -67,9 +74,9 @@
     | RunAbandoned
     | SuspectSucceeded
     | CrashReportsReceived
+    | LogRestored
+    | PeersAsked
 )
-# Source of what comes from the log itself, in messages and log lines.
-LOG_SOURCE = "log"
 # Heartbeats up to this number show that a backend server has just started.
 _MAX_FIRST_SEQUENCE = 2
 
@@ -233,7 +240,9 @@
         if server.address == state.backend_address and server.phase is not Phase.READY:
             _inform_gate(state, server)
     if message.source == LOG_SOURCE:
-        _set_states_heard(state, now)
+        state.registry.log_states_read = True
+        if may_rely_on_log(state.port.eras.state):
+            _set_states_heard(state, now)
 
 
 def _is_accepted(state: RegistryTask, server: BackendServer) -> bool:
@@ -296,11 +305,11 @@
     previous = state.port.configuration.value
     if previous is not None and previous.version >= message.configuration.version:
         return
-    if previous is None and message.source != LOG_SOURCE and not _has_heard_log(state):
-        # A peer may have missed a later version, which the log would show.
-        _hold_unconfirmed(state.registry, message)
-        return
     if previous is None:
+        message = hold_unconfirmed(state.registry, message)
+        if not may_use_first(state, message.source):
+            return
+        state.registry.unconfirmed = None
         state.registry.configured_at = now
     state.registry.raw = message.raw
     state.port.configuration.tell(message.configuration)
@@ -319,17 +328,13 @@
     )
 
 
-def _has_heard_log(state: RegistryTask) -> bool:
-    source = state.port.configuration_stream
-    return source in state.registry.answered_at or source in state.registry.faults
-
-
-def _hold_unconfirmed(
-    registry_state: RegistryState, message: ConfigurationReceived
-) -> None:
-    held = registry_state.unconfirmed
-    if held is None or held.configuration.version < message.configuration.version:
-        registry_state.unconfirmed = message
+def _peers_asked(state: RegistryTask, message: PeersAsked, now: float) -> None:
+    """Use what was held back until peers had been asked once."""
+    stream = state.port.configuration_stream
+    if stream in state.registry.answered_at:
+        _use_unconfirmed(state, stream, now)
+    if state.registry.log_states_read:
+        _set_states_heard(state, now)
 
 
 def _log_health(state: RegistryTask, message: LogHealth, now: float) -> None:
@@ -337,9 +342,11 @@
     ages_ms = answer_ages_ms(state.registry, now)
     if message.fault is None:
         state.registry.faults.pop(message.source, None)
+        state.port.log_answers.turn(not state.registry.faults)
         state.registry.answered_at[message.source] = now
     else:
         state.registry.faults[message.source] = message.fault
+        state.port.log_answers.turn(False)
         answer_held(state, now)
         _use_unconfirmed(state, message.source, now)
     if (previous_fault is None) is not (message.fault is None):
@@ -361,6 +368,7 @@
 
 def _log_not_read(state: RegistryTask, message: LogNotRead, now: float) -> None:
     state.registry.faults.pop(message.source, None)
+    state.port.log_answers.turn(not state.registry.faults)
     state.registry.answered_at.pop(message.source, None)
     if message.source == state.port.servers_stream:
         _set_states_heard(state, now)  # the relay has sent its states before
@@ -382,4 +390,6 @@
     RunAbandoned: run_abandoned,
     SuspectSucceeded: suspect_succeeded,
     CrashReportsReceived: crash_reports_received,
+    LogRestored: log_restored,
+    PeersAsked: _peers_asked,
 }
--- a/src/_masticspoke/fleet/knowledge/registry_freshness.py
+++ b/src/_masticspoke/fleet/knowledge/registry_freshness.py
@@ -7,6 +7,7 @@
 from _masticspoke.decisions.fleet.freshness import accepted_s
 from _masticspoke.decisions.fleet.freshness import confirm
 from _masticspoke.decisions.fleet.freshness import is_fresh
+from _masticspoke.decisions.fleet.log_era import may_confirm
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
 from _masticspoke.fleet.knowledge.registry_state import version_in_force
@@ -24,7 +25,13 @@
     """Raise the time at which the configuration in force was known to be the newest."""
     latest = state.port.confirmation
     version = version_in_force(state)
-    latest.tell(confirm(latest.value, version, message.version, message.at))
+    eras = state.port.eras
+    shown = message.version
+    if message.shown_by_log and eras.changes > 0:
+        # The log may have lost the version in force.
+        confirms = may_confirm(eras.state, eras.newest, shown, version)
+        shown = version if confirms else shown
+    latest.tell(confirm(latest.value, version, shown, message.at))
     check_freshness(state, now)
 
 
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -17,6 +17,7 @@
 from _masticspoke.fleet.dispatch.placer import PlacerMessage
 from _masticspoke.fleet.guard.gate import GateMessage
 from _masticspoke.fleet.knowledge.crash_messages import RunAbandoned
+from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
 from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.messages import Deregistered
@@ -27,6 +28,7 @@
 from _masticspoke.model import Address
 from _masticspoke.supervise.latest import Latest
 from _masticspoke.supervise.mailbox import Mailbox
+from _masticspoke.supervise.switch import Switch
 
 # Bits of the identity of a process.
 _IDENTITY_BITS = 48
@@ -52,8 +54,9 @@
     :param identity: identity of this process, for nodes that follow it.
     :param change: number of the last change of a server or crash report.
     :param changes: number of the last change of each server.
-    :param unconfirmed: newest configuration from a peer, until the log has answered or
-        has turned this node away for the first time.
+    :param log_states_read: whether the states in the log have been read here.
+    :param unconfirmed: newest configuration, until the log has answered or has turned
+        this node away for the first time, and peers have been asked.
     :param held: questions of nodes that follow this one, to be answered with the next
         configuration.
     :param suspects: crash reports of all guards, and what they show.
@@ -72,6 +75,7 @@
     changed_at: dict[Address, float] = field(default_factory=dict)
     heartbeat: BackendServer | None = None
     states_heard: bool = False
+    log_states_read: bool = False
     early_deregistrations: list[Deregistered] = field(default_factory=list)
     gate_informed: bool = False
     identity: int = field(default_factory=lambda: getrandbits(_IDENTITY_BITS))
@@ -98,6 +102,8 @@
     :param suspects: requests that were running at crashes.
     :param configuration_stream: stream of the log that holds the configuration.
     :param servers_stream: stream of the log that holds the states of backend servers.
+    :param eras: what is known of restores of the log.
+    :param log_answers: on while no access to the log has an error.
     :param confirmation: when the configuration in force was known to be the newest.
     :param revocation_s: bound on the revocation of a key; ``None`` if there is none.
     """
@@ -112,6 +118,8 @@
     trail: Mailbox[TrailMessage]
     configuration_stream: str
     servers_stream: str
+    eras: EraWatch
+    log_answers: Switch
     confirmation: Latest[Confirmation] = field(
         default_factory=lambda: Latest(Confirmation())
     )
--- a/src/_masticspoke/fleet/knowledge/relay_messages.py
+++ b/src/_masticspoke/fleet/knowledge/relay_messages.py
@@ -68,10 +68,13 @@
 
     :param version: newest version that the answer showed.
     :param at: every version that the log acknowledged before is at most that one.
+    :param shown_by_log: whether it is the newest in the log itself, which may have been
+        restored from an older copy.
     """
 
     version: int
     at: float
+    shown_by_log: bool = False
 
 
 @final
--- a/src/_masticspoke/fleet/knowledge/relaying.py
+++ b/src/_masticspoke/fleet/knowledge/relaying.py
@@ -24,6 +24,7 @@
 from _masticspoke.events import Event
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
+from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
 from _masticspoke.fleet.knowledge.relay_messages import ChooseRelay
@@ -83,6 +84,7 @@
     stop: PlannedStop
     waits: Waits
     clock: Clock
+    eras: EraWatch
 
 
 @final
@@ -250,6 +252,7 @@
 
 def _send_to_registry(port: RelayPort, answer: FollowAnswer, source: str) -> bool:
     """Return whether the configuration can be read, if there is a newer one."""
+    port.eras.told(answer.era)
     if answer.servers:
         port.registry.tell(ServersReceived(answer.servers, source))
     if answer.crash_reports:
@@ -292,6 +295,7 @@
             news.crash_reports,
             news.version,
             _milliseconds(news.confirmed_age_s),
+            port.eras.newest,
         )
         return Response(200, body=encode_follow_answer(answer))
 
--- a/src/_masticspoke/fleet/knowledge/sync.py
+++ b/src/_masticspoke/fleet/knowledge/sync.py
@@ -25,11 +25,14 @@
 from _masticspoke.decisions.fleet.exchanges import choose_peers
 from _masticspoke.decisions.fleet.exchanges import must_push
 from _masticspoke.decisions.fleet.exchanges import pause_s
+from _masticspoke.decisions.fleet.log_era import MAX_SPREAD_S
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
+from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.messages import AskRegistrySnapshot
 from _masticspoke.fleet.messages import ConfigurationReceived
+from _masticspoke.fleet.messages import PeersAsked
 from _masticspoke.fleet.messages import RegistrySnapshot
 from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.http_server import Handler
@@ -41,6 +44,7 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.switch import Switch
 
 EXCHANGE_TIMEOUT_S = 1.0
 # Pause before the registry is asked again, after it did not answer.
@@ -63,6 +67,8 @@
     own_host: str
     seeds: tuple[str, ...]
     peer_port: int
+    eras: EraWatch
+    log_answers: Switch
 
 
 def sync_task(port: SyncPort, random: Random) -> ChildBody:
@@ -71,22 +77,55 @@
     async def run(life: Lifecycle) -> None:
         life.mark_started()
         while True:
+            changes = port.eras.changes
             snapshot = await _ask_snapshot(port)
             if snapshot is None:
                 await asyncio.sleep(_REGISTRY_PAUSE_S)
                 continue
-            urgent = snapshot.version == 0 or not snapshot.log_available
+            urgent = (
+                snapshot.version == 0
+                or not snapshot.log_available
+                or not port.eras.has_asked_peers
+            )
             hosts = choose_peers(
                 snapshot.servers, port.seeds, port.own_host, urgent, random
             )
             async with asyncio.TaskGroup() as exchanges:
                 for host in hosts:
                     exchanges.create_task(_exchange(port, host, snapshot))
-            await asyncio.sleep(pause_s(urgent, len(snapshot.servers), random))
+            port.eras.peers_asked(changes)
+            port.registry.tell(PeersAsked())  # the next round repeats it
+            await _pause(port, urgent, len(snapshot.servers), random)
 
     return run
 
 
+async def _pause(port: SyncPort, urgent: bool, nodes: int, random: Random) -> None:
+    """Wait until the next exchanges.
+
+    They come early when the log ceases to answer or is restored, but not from all nodes
+    at once.
+    """
+    wait_s = pause_s(urgent, nodes, random)
+    try:
+        async with port.eras.interrupting(port.eras.changes):
+            if urgent:
+                await asyncio.sleep(wait_s)
+            elif await _log_ceases_within(port, wait_s):
+                await asyncio.sleep(pause_s(True, nodes, random))
+    except TimeoutError:
+        await asyncio.sleep(random.uniform(0.0, MAX_SPREAD_S))
+
+
+async def _log_ceases_within(port: SyncPort, wait_s: float) -> bool:
+    try:
+        async with asyncio.timeout(wait_s):
+            await port.log_answers.wait_off()
+    except TimeoutError:
+        return False
+    return True
+
+
 async def _ask_snapshot(port: SyncPort) -> RegistrySnapshot | None:
     reply: Reply[RegistrySnapshot] = Reply()
     return await ask(port.registry, AskRegistrySnapshot(reply), reply)
@@ -99,6 +138,7 @@
         b"",
         snapshot.recent,
         snapshot.recent_crash_reports,
+        port.eras.newest,
     )
     received = await _post(port, host, message)
     if received is None:
@@ -123,6 +163,7 @@
 
 
 def _send_to_registry(port: SyncPort, received: SyncMessage, source: str) -> None:
+    port.eras.told(received.era)
     if received.servers:
         port.registry.tell(ServersReceived(received.servers, source))
     if received.crash_reports:
@@ -153,6 +194,7 @@
             snapshot.raw if snapshot.version > received.version else b"",
             snapshot.servers if differs else (),
             snapshot.crash_reports if differs else snapshot.recent_crash_reports,
+            port.eras.newest,
         )
         return Response(200, body=encode_sync(message))
 
--- a/src/_masticspoke/fleet/messages.py
+++ b/src/_masticspoke/fleet/messages.py
@@ -340,6 +340,18 @@
     source: str
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class LogRestored:
+    """Restore watch to registry: the log may have lost what this node wrote to it."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PeersAsked:
+    """Sync task to registry: a round of exchanges has ended."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class RegistrySnapshot:
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -27,6 +27,7 @@
 from _masticspoke.fleet.guard.limit_learning import LimitLearning
 from _masticspoke.fleet.guard.run_recorder import RunRecorderMessage
 from _masticspoke.fleet.guard.run_recorder import RunRecorderState
+from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.followers import CONNECT_TIMEOUT_S
 from _masticspoke.fleet.knowledge.followers import WriterState
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
@@ -68,6 +69,8 @@
     :param suspects: requests that were running at crashes.
     :param quota_queries: queries to keepers of quotas that are to be sent.
     :param reads_log: on while this node reads the log itself.
+    :param eras: what is known of restores of the log.
+    :param log_answers: on while no access to the log has an error.
     :param configuration_wait_s: how long its reads of the configuration wait, seconds.
     :param bodies: memory for the bodies of requests.
     :param peer_connections: connections to other nodes for exchanges of states.
@@ -105,6 +108,8 @@
     relay_chooser: Mailbox[RelayMessage]
     relay_state: RelayState
     reads_log: Switch
+    eras: EraWatch
+    log_answers: Switch
     configuration_wait_s: Latest[float]
     bodies: BodyMemory
     peer_connections: Connections
@@ -175,6 +180,8 @@
             if settings.memory_limit_bytes is None
             else body_limit_bytes(settings.memory_limit_bytes)
         ),
+        eras=EraWatch(boot_clock),
+        log_answers=Switch(),
         peer_connections=Connections(),
         node_connections=HttpPool(CONNECT_TIMEOUT_S),
         backend_connections=HttpPool(CONNECT_TIMEOUT_S, True, dialect.echo_header),
--- a/src/_masticspoke/platform/log.py
+++ b/src/_masticspoke/platform/log.py
@@ -5,10 +5,12 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from typing import Any
 from typing import final
@@ -16,8 +18,15 @@
 import aiohttp
 
 from _masticspoke.border.json_values import MALFORMED
+from _masticspoke.decisions.fleet.log_era import read_era
 from _masticspoke.messages.log import LogRecord
 from _masticspoke.model import Address
+from _masticspoke.platform.names import STORE_ERA
+from _masticspoke.supervise.clocks import boot_clock
+
+# Takes the era of an answer and the time at which its request was sent, and returns
+# whether the answer counts.
+OnAnswer = Callable[[int | None, float], bool]
 
 _PARTITION = "0"
 _RECORD_LENGTH = struct.Struct(">I")
@@ -31,7 +40,8 @@
 class LogFault(Enum):
     """Why an operation on the log failed; the value is the error message.
 
-    A read without a usable answer is ``NOT_DONE``.
+    A read without a usable answer is ``NOT_DONE``. So is one whose answer is of an
+    older era than the newest known; such an append is ``UNKNOWN``.
     """
 
     NOT_DONE = (
@@ -55,6 +65,7 @@
     """Records from one offset on.
 
     :param records: in offset order.
+    :param era: era of the log; ``None`` if the answer names none.
     :param next_offset: offset of the next read.
     :param oldest_offset: oldest offset that is still retained.
     """
@@ -62,6 +73,7 @@
     records: tuple[LogRecord, ...]
     next_offset: int
     oldest_offset: int
+    era: int | None = field(default=None, compare=False)
 
 
 @final
@@ -70,10 +82,17 @@
     """The newest value of each key.
 
     :param next_offset: offset from which to read later records.
+    :param era: era of the log; ``None`` if an answer names none.
     """
 
     values: Mapping[str, bytes]
     next_offset: int
+    era: int | None = field(default=None, compare=False)
+
+
+def _counts(era: int | None, sent_at: float) -> bool:
+    """Accept the answer whatever its era is."""
+    return True
 
 
 @final
@@ -83,11 +102,13 @@
 
     :param session: open while the client is used; clients may share it.
     :param timeout_s: timeout of one request; a read's wait is added.
+    :param on_answer: gets the era of each answer, also of a refusal.
     """
 
     session: aiohttp.ClientSession
     address: Address
     timeout_s: float
+    on_answer: OnAnswer = _counts
 
 
 async def append(
@@ -105,6 +126,7 @@
     if expected_end is not None:
         query["at"] = str(expected_end)
     body = b"".join(_RECORD_LENGTH.pack(len(record)) + record for record in records)
+    sent_at = boot_clock()
     try:
         async with client.session.post(
             f"http://{client.address}/log-append",
@@ -113,8 +135,11 @@
             timeout=aiohttp.ClientTimeout(total=client.timeout_s),
         ) as response:
             text = await response.read()
+            counts = client.on_answer(_era(response), sent_at)
             if response.status != 200:
                 return _append_fault(response.status)
+            if not counts:
+                return LogFault.UNKNOWN
             return Appended(int(json.loads(text)["offset"]))
     except aiohttp.ClientConnectorError:
         return LogFault.NOT_DONE
@@ -135,8 +160,9 @@
 ) -> ReadResult | LogFault:
     """Read records from ``offset`` on; wait up to ``wait_s`` for a first one.
 
-    If the records at ``offset`` are no longer retained, the result has no records and
-    ``next_offset`` is the oldest retained offset.
+    If the log doesn't have ``offset``, the result has no records and ``next_offset`` is
+    the oldest retained offset. The records there are then no longer retained, or the
+    log was restored from an older copy and ends before ``offset``.
     """
     query = {
         "topic": stream,
@@ -145,6 +171,7 @@
         "max_kilobytes": str(_MAX_READ_KB),
         "wait_timeout_ms": str(int(wait_s * 1000)),
     }
+    sent_at = boot_clock()
     try:
         async with client.session.get(
             f"http://{client.address}/log-read",
@@ -152,25 +179,34 @@
             timeout=aiohttp.ClientTimeout(total=client.timeout_s + wait_s),
         ) as response:
             body = await response.read()
+            era = _era(response)
+            if not client.on_answer(era, sent_at):
+                return LogFault.NOT_DONE
             if response.status == 410:
                 oldest = int(json.loads(body)["first_offset"])
-                return ReadResult((), max(oldest, offset), oldest)
+                return ReadResult((), oldest, oldest, era)
             if response.status != 200:
                 return LogFault.NOT_DONE
-            return _read_result(stream, offset, body)
+            return _read_result(stream, offset, body, era)
     except (TimeoutError, aiohttp.ClientError, ConnectionError):
         return LogFault.NOT_DONE
     except (*MALFORMED, struct.error):
         return LogFault.NOT_DONE
 
 
-def _read_result(stream: str, offset: int, body: bytes) -> ReadResult:
-    _, oldest = _OFFSET_RANGE.unpack_from(body)
+def _era(response: aiohttp.ClientResponse) -> int | None:
+    return read_era(response.headers.get(STORE_ERA))
+
+
+def _read_result(stream: str, offset: int, body: bytes, era: int | None) -> ReadResult:
+    end, oldest = _OFFSET_RANGE.unpack_from(body)
+    if end < offset:
+        return ReadResult((), oldest, oldest, era)
     records = tuple(
         LogRecord(stream, offset + number, data)
         for number, data in enumerate(_records(body, _OFFSET_RANGE.size))
     )
-    return ReadResult(records, offset + len(records), oldest)
+    return ReadResult(records, offset + len(records), oldest, era)
 
 
 def _records(body: bytes, position: int) -> Iterator[bytes]:
@@ -188,10 +224,15 @@
     values: dict[str, bytes] = {}
     after = ""
     end: int | None = None
+    eras: set[int | None] = set()
     while True:
-        page = await _read_newest_page(client, stream, after)
-        if isinstance(page, LogFault):
-            return page
+        answer = await _read_newest_page(client, stream, after)
+        if isinstance(answer, LogFault):
+            return answer
+        page, era = answer
+        eras |= {era} - {None}
+        if len(eras) > 1:
+            return LogFault.NOT_DONE  # the log was restored between two pages
         try:
             for item in page["items"]:
                 after = str(item["key"])
@@ -200,17 +241,18 @@
             # read from the end of the stream as of the first page.
             end = int(page["range_end"]) if end is None else end
             if not page.get("has_more"):
-                return NewestValues(values, end)
+                return NewestValues(values, end, era)
         except MALFORMED:
             return LogFault.NOT_DONE
 
 
 async def _read_newest_page(
     client: LogClient, stream: str, after: str
-) -> dict[str, Any] | LogFault:
+) -> tuple[dict[str, Any], int | None] | LogFault:
     query = {"topic": stream, "part": _PARTITION}
     if after:
         query["after"] = after
+    sent_at = boot_clock()
     try:
         async with client.session.get(
             f"http://{client.address}/log-newest",
@@ -218,12 +260,13 @@
             timeout=aiohttp.ClientTimeout(total=client.timeout_s),
         ) as response:
             body = await response.read()
-            if response.status != 200:
+            era = _era(response)
+            if not client.on_answer(era, sent_at) or response.status != 200:
                 return LogFault.NOT_DONE
             page = json.loads(body)
     except (TimeoutError, aiohttp.ClientError, ConnectionError, *MALFORMED):
         return LogFault.NOT_DONE
-    return page if isinstance(page, dict) else LogFault.NOT_DONE
+    return (page, era) if isinstance(page, dict) else LogFault.NOT_DONE
 
 
 def keyed_record(key: str, value: bytes) -> bytes:
--- a/src/_masticspoke/platform/names.py
+++ b/src/_masticspoke/platform/names.py
@@ -28,6 +28,8 @@
 # on its VM now, in percent of the usual time: ``12,0,58,250``.
 BACKEND_LOAD = "X-Backend-Load"
 RETRY_AFTER = "Retry-After"
+# Header of the log's answers: its era.
+STORE_ERA = "Store-Era"
 
 # Removed from requests of callers; a guard sets them for its backend server.
 REPLACED_HEADERS = frozenset(
--- a/src/_masticspoke/supervise/switch.py
+++ b/src/_masticspoke/supervise/switch.py
@@ -10,11 +10,12 @@
 class Switch:
     """A state that is on or off, initially on."""
 
-    __slots__ = ("_on",)
+    __slots__ = ("_off", "_on")
 
     def __init__(self) -> None:
         self._on = asyncio.Event()
         self._on.set()
+        self._off = asyncio.Event()
 
     @property
     def is_on(self) -> bool:
@@ -25,9 +26,15 @@
         """Turn the switch on or off."""
         if on:
             self._on.set()
+            self._off.clear()
         else:
             self._on.clear()
+            self._off.set()
 
     async def wait_on(self) -> None:
         """Wait until the switch is on."""
         await self._on.wait()
+
+    async def wait_off(self) -> None:
+        """Wait until the switch is off."""
+        await self._off.wait()
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -9,6 +9,7 @@
 from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.events import Event
+from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.registry import registry
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.registry_state import RegistryPort
@@ -24,6 +25,7 @@
 from _masticspoke.supervise.lifecycle import Lifecycle
 from _masticspoke.supervise.mailbox import Mailbox
 from _masticspoke.supervise.mailbox import Reply
+from _masticspoke.supervise.switch import Switch
 
 
 class RunningRegistry:
@@ -34,6 +36,7 @@
         self.confirmation = Latest(Confirmation())
         self.inbox: Mailbox[RegistryMessage] = Mailbox(100)
         self.trail: Mailbox[TrailMessage] = Mailbox(100)
+        self.eras = EraWatch(lambda: self.now)
         port = RegistryPort(
             Latest(None),
             Mailbox(100),
@@ -45,6 +48,8 @@
             self.trail,
             "keyed.op",
             "keyed.servers",
+            self.eras,
+            Switch(),
             self.confirmation,
             revocation_s,
         )
@@ -190,3 +195,27 @@
         running.task.cancel()
 
     asyncio.run(scenario())
+
+
+# A node confirmed its keys by a log that had lost their revocation, or refused all keys
+# until the configuration was published again.
+def test_restored_log_confirms_the_version_once_peers_were_asked() -> None:
+    async def scenario() -> None:
+        running = RunningRegistry(5.0)
+        await running.life.started()
+        running.inbox.tell(LogHealth("keyed.op", None))
+        running.inbox.tell(ConfigurationReceived(Configuration(9, {}), b"9", "log"))
+        running.inbox.tell(VersionConfirmed(9, 1.0, True))
+        running.eras.answered(1, 1.0)
+        running.eras.answered(2, 1.0)
+        running.inbox.tell(VersionConfirmed(8, 2.0, True))
+        assert running.confirmation.value.at == 1.0
+        running.eras.peers_asked(running.eras.changes)
+        running.inbox.tell(VersionConfirmed(8, 3.0))  # a relay that is behind
+        assert running.confirmation.value.at == 1.0
+        running.inbox.tell(VersionConfirmed(8, 4.0, True))
+        running.task.cancel()
+
+        assert running.confirmation.value == Confirmation(9, 4.0)
+
+    asyncio.run(scenario())
--- a/testing/platform/test_log.py
+++ b/testing/platform/test_log.py
@@ -84,6 +84,20 @@
     run_scenario(scenario)
 
 
+# A follower stayed at an offset that the log had lost, and skipped records.
+def test_read_beyond_the_end_returns_the_oldest_offset() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        stream = log.stream("s")
+        log.add(stream, [b"a"])
+        copy = log.copy()
+        log.add(stream, [b"b", b"c"])
+        log.restore(copy)
+        result = await read(client, "s", 3, 0.0)
+        assert result == ReadResult((), 0, 0)
+
+    run_scenario(scenario)
+
+
 def test_newest_value_of_each_key_is_read_over_pages() -> None:
     async def scenario(log: LogService, client: LogClient) -> None:
         stream = log.stream("keyed.s")
--- a/testing/standins/log_service.py
+++ b/testing/standins/log_service.py
@@ -39,6 +39,8 @@
     :param turned_away: IP addresses of the callers, or of the service's own that they
         call, that get 503.
     :param unanswered: IP addresses of the service's own whose callers get no answer.
+    :param odd_era: value of the header ``Store-Era`` in place of the era; empty to
+        leave the header out.
     """
 
     down: bool = False
@@ -51,6 +53,7 @@
     retained_records: int = 1_000_000
     turned_away: list[str] = field(default_factory=list)
     unanswered: list[str] = field(default_factory=list)
+    odd_era: str | None = None
 
 
 @dataclass
@@ -92,6 +95,7 @@
     :param transports: connections on which requests arrived.
     :param silenced: those on which nothing is answered any more.
     :param calls: number of requests by the IP address of the service that was called.
+    :param era: rises by one each time the log is restored from an older copy.
     """
 
     faults: Faults = field(default_factory=Faults)
@@ -102,6 +106,7 @@
     appends_total: int = 0
     bytes_total: int = 0
     calls: Counter[str] = field(default_factory=Counter)
+    era: int = 1
 
     def stream(self, name: str) -> Stream:
         return self.streams.setdefault(name, Stream())
@@ -121,6 +126,21 @@
         """Answer nothing more on the connections so far; new ones work."""
         self.silenced |= self.transports
 
+    def copy(self) -> dict[str, tuple[int, list[bytes]]]:
+        """Return a copy of the streams, for :meth:`restore`."""
+        return {n: (s.oldest, list(s.records)) for n, s in self.streams.items()}
+
+    def restore(self, copy: dict[str, tuple[int, list[bytes]]]) -> None:
+        """Restore the streams from a copy; offsets go back and are reassigned."""
+        self.era += 1
+        for name, stream in self.streams.items():
+            stream.oldest, records = copy.get(name, (0, []))
+            stream.records, stream.newest = [], {}
+            for record in records:
+                stream.append_bytes(record)
+            stream.appended.set()
+            stream.appended = asyncio.Event()
+
     def trim(self, stream: Stream, before: int) -> None:
         """Remove the records before an offset."""
         excess = min(before, stream.next) - stream.oldest
@@ -211,14 +231,14 @@
         stream = log.stream(request.query["topic"])
         start = int(request.query["from"])
         wait_s = int(request.query.get("wait_timeout_ms", "0")) / 1000
-        if start >= stream.next and wait_s > 0:
+        if start == stream.next and wait_s > 0:
             try:
                 async with asyncio.timeout(wait_s):
                     await stream.appended.wait()
             except TimeoutError:
                 pass
             await apply_faults(request)
-        if start < stream.oldest:
+        if start < stream.oldest or start > stream.next:
             return web.json_response({"first_offset": stream.oldest}, status=410)
         page_records = stream.records[start - stream.oldest :][:1000]
         body = OFFSET_RANGE.pack(stream.next, stream.oldest)
@@ -261,6 +281,13 @@
             {"appends": log.appends_total, "bytes": log.bytes_total}
         )
 
+    async def add_era(request: web.Request, response: web.StreamResponse) -> None:
+        odd_era = log.faults.odd_era
+        era = str(log.era) if odd_era is None else odd_era
+        if era:
+            response.headers["Store-Era"] = era
+
+    app.on_response_prepare.append(add_era)
     app.router.add_post("/log-append", append)
     app.router.add_get("/log-read", read)
     app.router.add_get("/log-newest", read_newest)
