--- a/bench/uneven/limits.py
+++ b/bench/uneven/limits.py
@@ -13,7 +13,7 @@
 # Largest number of concurrent runs at a time.
 LimitAt = Callable[[float], int]
 # Takes route, run time, concurrent runs, slowdown and time.
-RecordRun = Callable[[str, float, float, float, float], object]
+RecordRun = Callable[[str, float, float, float | None, float], object]
 
 
 @final
@@ -56,10 +56,15 @@
     ratio: float = 1.0
 
     def record(
-        self, route: str, run_s: float, running: float, slowdown: float, now: float
+        self,
+        route: str,
+        run_s: float,
+        running: float,
+        slowdown: float | None,
+        now: float,
     ) -> None:
         """Move the limit by the run time against its uncontended value."""
-        run_s /= slowdown
+        run_s /= slowdown or 1.0
         known_s = self.lowest_s.get(route, run_s)
         # The mean while few run stands for the uncontended value.
         if running < 0.4 * self.ceiling or route not in self.lowest_s:
@@ -90,12 +95,17 @@
     full: bool = False
 
     def record(
-        self, route: str, run_s: float, running: float, slowdown: float, now: float
+        self,
+        route: str,
+        run_s: float,
+        running: float,
+        slowdown: float | None,
+        now: float,
     ) -> None:
         """Climb by the work that ends a second, counted in usual run times."""
         usual_s = self.usual_s.setdefault(route, run_s)
         self.usual_s[route] = usual_s + 0.01 * (run_s - usual_s)
-        self.work += usual_s * slowdown
+        self.work += usual_s * (slowdown or 1.0)
         self.full = self.full or running >= 0.9 * self.value
         if now - self.since < 0.4:
             return
@@ -128,12 +138,18 @@
     moved_at: float = 0.0
 
     def record(
-        self, route: str, run_s: float, running: float, slowdown: float, now: float
+        self,
+        route: str,
+        run_s: float,
+        running: float,
+        slowdown: float | None,
+        now: float,
     ) -> None:
         """Fit the factor of a run time by occupancy; use the best one."""
         bucket = min(_BUCKETS, round(running * _BUCKETS / self.slots))
-        usual_s = self.usual_s.setdefault(route, run_s / slowdown)
-        ratio = run_s / slowdown / usual_s
+        run_s /= slowdown or 1.0
+        usual_s = self.usual_s.setdefault(route, run_s)
+        ratio = run_s / usual_s
         self.usual_s[route] = usual_s * (1 + 0.01 * (ratio / self.factor[bucket] - 1))
         self.factor[bucket] += 0.03 * (ratio - self.factor[bucket])
         self.known[bucket] = now
--- a/src/_masticspoke/decisions/fleet/learned_limit.py
+++ b/src/_masticspoke/decisions/fleet/learned_limit.py
@@ -17,19 +17,17 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import StrEnum
-from math import exp
 from math import log
 from math import pi
 from math import sin
 from typing import final
 
+from _masticspoke.decisions.fleet.elasticity import compare
+from _masticspoke.decisions.fleet.elasticity import Comparison
+from _masticspoke.decisions.fleet.elasticity import forget_most
+from _masticspoke.decisions.fleet.elasticity import local_elasticity
 from _masticspoke.decisions.fleet.model import Configuration
 
-# Time constant over which run times and numbers of runs are compared, seconds.
-WINDOW_S = 3.0
-# Time constant of their present means, from which they deviate, seconds. Slower
-# changes, such as a VM that is shared from now on, are no elasticity.
-PRESENT_S = 0.5
 # Weight of the newest run of a route in its usual run time.
 USUAL_WEIGHT = 0.001
 # Runs of a route before it counts; routes that are kept.
@@ -41,8 +39,9 @@
 # errors. At 1 throughput no longer grows; the limit falls before, as requests that wait
 # inside the server have no order of priority.
 FALL_ELASTICITY = 0.85
-FALL_ERRORS = 1.5
-# It falls on weaker evidence if the mean elasticity from few runs is above this.
+FALL_ERRORS = 2.5
+# It falls on weaker evidence if the mean elasticity from few runs is above this, and
+# the server names its slowdown.
 FALL_MEAN_ELASTICITY = 0.75
 WEAK_FALL_ELASTICITY = 0.5
 WEAK_FALL_ERRORS = 0.5
@@ -52,14 +51,19 @@
 RISE_MEAN_ELASTICITY = 0.6
 RISE_ERRORS = 2.0
 FALL_FACTOR = 0.9
-# Part of the comparison that is kept when the limit falls, so that runs above the new
-# limit don't make it fall again.
-KEPT_EVIDENCE = 0.3
 # A rise after a fall, as a fraction of the limit; each further one is larger, up to a
 # largest one. The limit stays near a knee, and is back in two seconds if it is gone.
 FIRST_RISE = 0.01
 RISE_GROWTH = 1.5
 LARGEST_RISE = 0.1
+# The limit of a new server: a fraction of its ceiling, at least a number of runs. Each
+# rise until the first fall is by START_RISE, so it has doubled twice after 1.2 s. A
+# server that announces ten times what it takes would collapse before any run has ended.
+START_FRACTION = 0.1
+START_RUNS = 28.0
+START_RISE = 0.3
+# Runs that must have ended since the last move before the limit rises, as a part of it.
+RISE_RUNS_FRACTION = 0.3
 # The limit never falls below this fraction of its ceiling.
 MIN_FRACTION = 0.05
 # The limit in force dips by up to this fraction, for this time out of each period, in
@@ -71,9 +75,11 @@
 # below which a run isn't compared.
 FULL_FRACTION = 0.85
 COMPARED_FRACTION = 0.7
-# Fraction of the ceiling below which runs count as uncontended; weights of such a run,
-# and of any other, in the uncontended run time.
+# Runs count as uncontended below this fraction of the ceiling, and below this number or
+# the limit of a new server; weights of such a run, and of any other, in the uncontended
+# run time.
 QUIET_FRACTION = 0.5
+QUIET_RUNS = 32.0
 QUIET_WEIGHT = 0.02
 QUIET_LEAK = 0.0002
 # Weight of the newest run in its mean excess over the uncontended run time, and runs
@@ -115,26 +121,6 @@
     quiet_runs: int = 0
 
 
-@final
-@dataclass(slots=True)
-class _Comparison:
-    """Sums over recent runs of deviations from their present means.
-
-    :param weight: number of runs, less with age.
-    :param oo: squared deviations of the logarithm of the number of runs.
-    :param rr: squared deviations of the logarithm of the run time.
-    """
-
-    at: float = 0.0
-    present_weight: float = 0.0
-    present_run: float = 0.0
-    present_occupancy: float = 0.0
-    weight: float = 0.0
-    oo: float = 0.0
-    orr: float = 0.0
-    rr: float = 0.0
-
-
 @final
 @dataclass(slots=True)
 class _Excess:
@@ -156,6 +142,7 @@
     :param integral: time integral of the number of runs until then.
     :param begun: the integral at the start of each run, by ticket.
     :param rise: next rise, as a fraction of the limit.
+    :param ended: runs that ended since the last move.
     :param full_at: time at which a run ended that ran at a full server.
     """
 
@@ -164,13 +151,14 @@
     last_move: Move = Move.NONE
     moved_at: float = 0.0
     full_at: float = 0.0
-    rise: float = FIRST_RISE
+    rise: float = START_RISE
+    ended: int = 0
     running: int = 0
     running_at: float = 0.0
     integral: float = 0.0
     begun: dict[int, tuple[float, float]] = field(default_factory=dict)
     usual: dict[str, _Usual] = field(default_factory=dict)
-    comparison: _Comparison = field(default_factory=_Comparison)
+    comparison: Comparison = field(default_factory=Comparison)
     excess: _Excess = field(default_factory=_Excess)
 
 
@@ -191,7 +179,8 @@
 
 def new_learned_limit(ceiling: int, now: float) -> LearnedLimit:
     """Return the limit of a server of which only the announced slots are known."""
-    return LearnedLimit(ceiling, float(ceiling), moved_at=now, running_at=now)
+    start = min(float(ceiling), max(START_RUNS, ceiling * START_FRACTION))
+    return LearnedLimit(ceiling, start, moved_at=now, running_at=now)
 
 
 def set_ceiling(limit: LearnedLimit, ceiling: int) -> None:
@@ -223,7 +212,7 @@
     ticket: int,
     running: int,
     route: str | None,
-    slowdown: float,
+    slowdown: float | None,
     now: float,
 ) -> Move | None:
     """Record the end of a run; return a move of the limit, if any.
@@ -231,11 +220,11 @@
     :param running: number of concurrent runs from now on.
     :param route: ``None`` if the run time doesn't show the speed of the server: the run
         failed, or made nested calls, whose time is included.
-    :param slowdown: latest that the server named; 1.0 if it named none.
+    :param slowdown: latest that the server named; ``None`` if it named none.
     """
     _integrate(limit, running, now)
     begun = limit.begun.pop(ticket, None)
-    if begun is None or route is None:
+    if begun is None:
         return None
     started_at, integral = begun
     run_s = max(_SHORTEST_RUN_S, now - started_at)
@@ -250,36 +239,48 @@
 
 def record_run(
     limit: LearnedLimit,
-    route: str,
+    route: str | None,
     run_s: float,
     occupancy: float,
-    slowdown: float,
+    slowdown: float | None,
     now: float,
 ) -> Move | None:
-    """Record the run time of a run that shows the speed of the server.
+    """Record a run by its time; return a move of the limit, if any.
 
+    :param route: ``None`` if the run time doesn't show the speed of the server. Such
+        runs let the limit rise: else that of a server without others would never.
     :param occupancy: mean number of concurrent runs meanwhile, with this one.
     """
+    limit.ended += 1
     if occupancy >= limit.value * FULL_FRACTION:
         limit.full_at = now
-    log_run_s = log(run_s / slowdown)
+    if route is not None:
+        _learn(limit, route, log(run_s / (slowdown or 1.0)), occupancy, now)
+    if now - limit.moved_at < MOVE_INTERVAL_S:
+        return None
+    # Runs that take longer than uncontended ones may do so on a VM that is shared.
+    mean = None if slowdown is None else mean_elasticity(limit)
+    return _move(limit, mean, now)
+
+
+def _learn(
+    limit: LearnedLimit, route: str, log_run_s: float, occupancy: float, now: float
+) -> None:
     usual = limit.usual.get(route)
     if usual is None:
         if len(limit.usual) < MAX_ROUTES:
             limit.usual[route] = _Usual(log_run_s, log_run_s)
-        return None
+        return
     deviation = log_run_s - usual.log_run_s
     usual.runs += 1
     usual.log_run_s += max(USUAL_WEIGHT, 1.0 / usual.runs) * deviation
     if usual.runs <= MIN_ROUTE_RUNS:
-        return None
-    if occupancy < limit.ceiling * QUIET_FRACTION:
+        return
+    if occupancy < quiet_level(limit):
         _record_quiet(usual, log_run_s)
-    if occupancy < limit.value * COMPARED_FRACTION:
-        return None
-    _record_excess(limit.excess, usual, log_run_s, log(occupancy))
-    _compare(limit.comparison, deviation, log(occupancy), now)
-    return _move(limit, now) if now - limit.moved_at >= MOVE_INTERVAL_S else None
+    if occupancy >= limit.value * COMPARED_FRACTION:
+        _record_excess(limit.excess, usual, log_run_s, log(occupancy))
+        compare(limit.comparison, deviation, log(occupancy), now)
 
 
 def _record_quiet(usual: _Usual, log_run_s: float) -> None:
@@ -300,33 +301,10 @@
     excess.runs += 1
 
 
-def _compare(
-    sums: _Comparison, deviation: float, log_occupancy: float, now: float
-) -> None:
-    age_s = max(0.0, now - sums.at)
-    sums.at = now
-    sums.present_weight = sums.present_weight * exp(-age_s / PRESENT_S) + 1.0
-    sums.present_run += (deviation - sums.present_run) / sums.present_weight
-    sums.present_occupancy += (
-        log_occupancy - sums.present_occupancy
-    ) / sums.present_weight
-    run = deviation - sums.present_run
-    occupancy = log_occupancy - sums.present_occupancy
-    decay = exp(-age_s / WINDOW_S)
-    sums.weight = sums.weight * decay + 1.0
-    sums.oo = sums.oo * decay + occupancy * occupancy
-    sums.orr = sums.orr * decay + occupancy * run
-    sums.rr = sums.rr * decay + run * run
-
-
-def local_elasticity(limit: LearnedLimit) -> tuple[float, float]:
-    """Return the elasticity around the present number of runs, and its error."""
-    sums = limit.comparison
-    if sums.weight < 3.0 or sums.oo < 1e-6:
-        return 0.0, 1e3
-    slope = sums.orr / sums.oo
-    residual = max(0.0, sums.rr - slope * sums.orr)
-    return slope, float((residual / sums.weight / sums.oo) ** 0.5)
+def quiet_level(limit: LearnedLimit) -> float:
+    """Return the number of concurrent runs below which runs count as uncontended."""
+    start = max(QUIET_RUNS, limit.ceiling * START_FRACTION)
+    return max(1.0, min(limit.ceiling * QUIET_FRACTION, start))
 
 
 def mean_elasticity(limit: LearnedLimit) -> float | None:
@@ -334,30 +312,32 @@
     excess = limit.excess
     if excess.runs < MIN_EXCESS_RUNS:
         return None
-    few = log(max(1.0, limit.ceiling * QUIET_FRACTION))
-    distance = excess.log_occupancy - few
+    distance = excess.log_occupancy - log(quiet_level(limit))
     return excess.log_run / distance if distance > MIN_LOG_DISTANCE else None
 
 
-def _move(limit: LearnedLimit, now: float) -> Move | None:
+def _move(limit: LearnedLimit, mean: float | None, now: float) -> Move | None:
     before = limit.value
-    slope, error = local_elasticity(limit)
-    mean = mean_elasticity(limit)
+    slope, error = local_elasticity(limit.comparison)
     if _fills(slope, error, mean):
         lowest = max(1.0, limit.ceiling * MIN_FRACTION)
         limit.value = min(before, max(lowest, before * FALL_FACTOR))
         limit.rise = FIRST_RISE
-        _forget_most(limit.comparison)
+        forget_most(limit.comparison)
         move = Move.FILLS
-    elif _may_rise(slope, error, mean) and limit.full_at >= limit.moved_at:
+    elif (
+        limit.full_at >= limit.moved_at
+        and limit.ended >= before * RISE_RUNS_FRACTION
+        and _may_rise(slope, error, mean)
+    ):
         limit.value = min(float(limit.ceiling), before * (1.0 + limit.rise))
-        limit.rise = min(LARGEST_RISE, limit.rise * RISE_GROWTH)
+        limit.rise = max(limit.rise, min(LARGEST_RISE, limit.rise * RISE_GROWTH))
         move = Move.PROBE
     else:
         return None
     if limit.value == before:
         return None
-    limit.moved_at, limit.last_move = now, move
+    limit.moved_at, limit.last_move, limit.ended = now, move, 0
     return move
 
 
@@ -375,10 +355,3 @@
     if mean is None or mean < RISE_MEAN_ELASTICITY:
         return True
     return slope + RISE_ERRORS * error < FALL_ELASTICITY
-
-
-def _forget_most(sums: _Comparison) -> None:
-    sums.weight *= KEPT_EVIDENCE
-    sums.oo *= KEPT_EVIDENCE
-    sums.orr *= KEPT_EVIDENCE
-    sums.rr *= KEPT_EVIDENCE
--- a/src/_masticspoke/fleet/guard/limit_learning.py
+++ b/src/_masticspoke/fleet/guard/limit_learning.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from _masticspoke.decisions.fleet import learned_limit
+from _masticspoke.decisions.fleet.elasticity import local_elasticity
 from _masticspoke.decisions.fleet.learned_limit import LearnedLimit
 from _masticspoke.decisions.fleet.learned_limit import LearningMode
 from _masticspoke.decisions.fleet.learned_limit import Move
@@ -52,7 +53,7 @@
         limit = self.limit
         if limit is None:
             return None
-        slope, error = learned_limit.local_elasticity(limit)
+        slope, error = local_elasticity(limit.comparison)
         known = error < learned_limit.FALL_ELASTICITY
         return LearnedLimitState(limit.value, limit.last_move, slope if known else 0.0)
 
@@ -114,9 +115,8 @@
         return
     job, _ = queue.running[ticket]
     route = job.route if shows_speed else None
-    slowdown = 1.0 if learning.slowdown is None else learning.slowdown
     left = len(queue.running) - 1
-    move = learned_limit.record_end(limit, ticket, left, route, slowdown, now)
+    move = learned_limit.record_end(limit, ticket, left, route, learning.slowdown, now)
     if move is not None:
         _log_move(learning, limit, move, trail)
 
@@ -129,7 +129,7 @@
 ) -> None:
     if abs(limit.value - learning.logged) < _LOGGED_CHANGE * learning.logged:
         return
-    slope, error = learned_limit.local_elasticity(limit)
+    slope, error = local_elasticity(limit.comparison)
     mean = learned_limit.mean_elasticity(limit)
     fields = {
         "limit": round(limit.value),
