--- a/testing/fleet/test_backend_notices.py
+++ b/testing/fleet/test_backend_notices.py
@@ -228,6 +228,7 @@
         for _ in range(3):
             assert (await fleet.ask(desk, "/read/1"))[0] == 200
         assert desk.parts.guard_state.value.learned_limit is None
+        assert not desk.parts.placer_state.placing.weighs_speed
         desk.backend.notice = {"X-Backend-Load": "1,0,50,100"}
         for _ in range(3):
             assert (await fleet.ask(desk, "/read/1"))[0] == 200
@@ -235,6 +236,7 @@
         learned = desk.parts.guard_state.value.learned_limit
         assert learned is not None
         assert learned.value == 28
+        assert desk.parts.placer_state.placing.weighs_speed
         assert desk.parts.gate_state.queue.limit in range(23, 29)
 
     run_scenario(tmp_path, scenario)
