--- a/src/_masticspoke/decisions/fleet/expected_time.py
+++ b/src/_masticspoke/decisions/fleet/expected_time.py
@@ -41,6 +41,9 @@
 # with all of its limit in use, by utilisation to this power.
 CROWDING = 0.5
 CROWDING_POWER = 4
+# Weight of the expected wait: what other nodes send meanwhile makes it longer. With 1,
+# the 99th percentile at 0.9 of capacity, in spells of shared VMs, was higher.
+WAIT_WEIGHT = 2.0
 # Answers faster than this tell nothing, seconds.
 _SHORTEST_S = 1e-4
 # Time that is assumed until the first answer, seconds.
--- a/src/_masticspoke/decisions/fleet/placing.py
+++ b/src/_masticspoke/decisions/fleet/placing.py
@@ -225,7 +225,7 @@
     stats.expected_wait_s = expected_time.wait_s(requests, limit, load.run_s, slowdown)
     time_s = run_s * (1.0 + expected_time.crowding(requests, limit))
     failure_s = _failure_ratio(stats, now) * FAILURE_COST_S
-    return time_s + stats.expected_wait_s + failure_s
+    return time_s + expected_time.WAIT_WEIGHT * stats.expected_wait_s + failure_s
 
 
 def expected_cost_s(
--- a/testing/bench/test_uneven.py
+++ b/testing/bench/test_uneven.py
@@ -33,9 +33,7 @@
         (Scenario("speeds 0.5 to 1.5", 0.9), 1.15),
         (Scenario("spells", 0.75, _spells), 1.15),
         (Scenario("mix shifts", 0.9, long_share=lambda t: 0.1 if t < 5 else 0.8), 1.15),
-        # Above the target of 1.15: what a zone saves its own requests, it takes from
-        # those that cross.
-        (Scenario("0.8 in one zone", 0.75, zone_share=0.8), 1.25),
+        (Scenario("0.8 in one zone", 0.75, zone_share=0.8), 1.15),
     ],
     ids=lambda value: value.name if isinstance(value, Scenario) else "",
 )
