Keys: a first configuration is confirmed by the read that showed it

Cause: since a first configuration is held until peers were asked, the confirmation of the read that showed it came while none was in force and was dropped. A node that had just become ready refused keyed requests with stale-keys until its next read, 0.5 s later. Change: the registry keeps that confirmation and applies it with the first configuration.

--- a/src/_masticspoke/fleet/knowledge/registry_freshness.py
+++ b/src/_masticspoke/fleet/knowledge/registry_freshness.py
@@ -25,7 +25,8 @@
     """Raise the time at which the configuration in force was known to be the newest."""
     latest = state.port.confirmation
     version = version_in_force(state)
-    if version == 0:
+    if state.port.configuration.value is None:
+        # A first configuration may be held until peers were asked.
         state.registry.early_confirmation = message
         return
     eras = state.port.eras
@@ -39,8 +40,9 @@
 
 
 def use_early_confirmation(state: RegistryTask, now: float) -> None:
-    """Use a confirmation that came while the first configuration was held back."""
-    message, state.registry.early_confirmation = state.registry.early_confirmation, None
+    """Confirm the first configuration by the read that showed it."""
+    message = state.registry.early_confirmation
+    state.registry.early_confirmation = None
     if message is not None:
         version_confirmed(state, message, now)
 
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -219,3 +219,19 @@
         assert running.confirmation.value == Confirmation(9, 4.0)
 
     asyncio.run(scenario())
+
+
+def test_first_configuration_is_confirmed_by_the_read_that_showed_it() -> None:
+    """It may be held until peers were asked, and a ready node would refuse all keys."""
+
+    async def scenario() -> None:
+        running = RunningRegistry(revocation_s=5.0)
+        await running.life.started()
+        running.inbox.tell(VersionConfirmed(7, 1.0))
+        running.inbox.tell(VersionConfirmed(7, 1.5))
+        running.inbox.tell(LogHealth("keyed.op", None))
+        running.inbox.tell(ConfigurationReceived(Configuration(7, {}), b"7", "log"))
+        assert running.confirmation.value == Confirmation(7, 1.5)
+        running.task.cancel()
+
+    asyncio.run(scenario())
