Messages of a fleet's tasks: one module for each branch

Change: dispatch, guard and knowledge each have a messages module; imports follow. No code is changed.

--- a/src/_masticspoke/fleet/departure.py
+++ b/src/_masticspoke/fleet/departure.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from _masticspoke.fleet.guard.gate import GateMessage
-from _masticspoke.fleet.messages import AskActiveCount
-from _masticspoke.fleet.messages import StopAdmitting
+from _masticspoke.fleet.guard.messages import AskActiveCount
+from _masticspoke.fleet.guard.messages import StopAdmitting
 from _masticspoke.supervise.ask import ask
 from _masticspoke.supervise.lifecycle import ChildBody
 from _masticspoke.supervise.lifecycle import Lifecycle
--- a/src/_masticspoke/fleet/dispatch/front.py
+++ b/src/_masticspoke/fleet/dispatch/front.py
@@ -37,6 +37,9 @@
 from _masticspoke.fleet.dispatch.incoming import Unanswered
 from _masticspoke.fleet.dispatch.limiting import Result
 from _masticspoke.fleet.dispatch.limiting import send_within_limit
+from _masticspoke.fleet.dispatch.messages import NoPlacement
+from _masticspoke.fleet.dispatch.messages import Placement
+from _masticspoke.fleet.dispatch.messages import PlaceRequest
 from _masticspoke.fleet.dispatch.sending import AnswerForwarder
 from _masticspoke.fleet.dispatch.sending import send
 from _masticspoke.fleet.dispatch.sending import SendPort
@@ -46,9 +49,6 @@
 from _masticspoke.fleet.guard.guarding import Declined
 from _masticspoke.fleet.guard.guarding import Interrupted
 from _masticspoke.fleet.guard.guarding import RunResult
-from _masticspoke.fleet.messages import NoPlacement
-from _masticspoke.fleet.messages import Placement
-from _masticspoke.fleet.messages import PlaceRequest
 from _masticspoke.fleet.quota.taking import QuotaPort
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.http_server import Streamed
--- a/src/_masticspoke/fleet/dispatch/sending.py
+++ b/src/_masticspoke/fleet/dispatch/sending.py
@@ -30,6 +30,7 @@
 from _masticspoke.decisions.fleet.model import NotRun
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.fleet.dispatch.forwarded_request import ForwardedRequest
+from _masticspoke.fleet.dispatch.messages import SendEnded
 from _masticspoke.fleet.dispatch.placer import PlacerMessage
 from _masticspoke.fleet.guard.guarding import Answer
 from _masticspoke.fleet.guard.guarding import Declined
@@ -42,8 +43,7 @@
 from _masticspoke.fleet.guard.guarding import NO_REPLACED_HEADERS
 from _masticspoke.fleet.guard.guarding import run_job
 from _masticspoke.fleet.guard.guarding import RunResult
-from _masticspoke.fleet.messages import SendEnded
-from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
 from _masticspoke.http_pool import NotConnectedError
--- a/src/_masticspoke/fleet/guard/limit_learning.py
+++ b/src/_masticspoke/fleet/guard/limit_learning.py
@@ -15,8 +15,8 @@
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.queueing import Queue
 from _masticspoke.events import Event
-from _masticspoke.fleet.messages import GuardState
-from _masticspoke.fleet.messages import LearnedLimitState
+from _masticspoke.fleet.guard.messages import GuardState
+from _masticspoke.fleet.guard.messages import LearnedLimitState
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.supervise.latest import Latest
--- a/src/_masticspoke/fleet/guard/probe.py
+++ b/src/_masticspoke/fleet/guard/probe.py
@@ -21,11 +21,11 @@
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.fleet.dialect import Dialect
+from _masticspoke.fleet.guard.messages import GuardState
+from _masticspoke.fleet.knowledge.messages import AskLocalBackend
+from _masticspoke.fleet.knowledge.messages import LocalBackendConfirmed
+from _masticspoke.fleet.knowledge.messages import LocalCandidate
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
-from _masticspoke.fleet.messages import AskLocalBackend
-from _masticspoke.fleet.messages import GuardState
-from _masticspoke.fleet.messages import LocalBackendConfirmed
-from _masticspoke.fleet.messages import LocalCandidate
 from _masticspoke.http_pool import ExpiredError
 from _masticspoke.http_pool import HttpPool
 from _masticspoke.supervise.ask import ask
--- a/src/_masticspoke/fleet/guard/run_log.py
+++ b/src/_masticspoke/fleet/guard/run_log.py
@@ -5,7 +5,7 @@
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import Job
 from _masticspoke.events import Event
-from _masticspoke.fleet.messages import GuardState
+from _masticspoke.fleet.guard.messages import GuardState
 from _masticspoke.fleet.reporting.event_record import EventRecord
 
 
--- a/src/_masticspoke/fleet/knowledge/followers.py
+++ b/src/_masticspoke/fleet/knowledge/followers.py
@@ -23,10 +23,10 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
+from _masticspoke.fleet.knowledge.messages import LogHealth
+from _masticspoke.fleet.knowledge.messages import LogNotRead
+from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
-from _masticspoke.fleet.messages import LogHealth
-from _masticspoke.fleet.messages import LogNotRead
-from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
 from _masticspoke.platform.log import keyed_record
--- a/src/_masticspoke/fleet/knowledge/log_values.py
+++ b/src/_masticspoke/fleet/knowledge/log_values.py
@@ -17,11 +17,11 @@
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.followers import KeyedRead
 from _masticspoke.fleet.knowledge.followers import OnRead
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.registry_restore import LOG_SOURCE
 from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.supervise.mailbox import Mailbox
--- a/src/_masticspoke/fleet/knowledge/registry_crashes.py
+++ b/src/_masticspoke/fleet/knowledge/registry_crashes.py
@@ -9,8 +9,8 @@
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.crash_messages import RunAbandoned
 from _masticspoke.fleet.knowledge.crash_messages import SuspectSucceeded
+from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
-from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.reporting.event_record import EventRecord
 
 # An abandoned run may go on, so a crash within this time makes it a suspect, seconds.
--- a/src/_masticspoke/fleet/knowledge/registry_news.py
+++ b/src/_masticspoke/fleet/knowledge/registry_news.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from _masticspoke.decisions.fleet import members
+from _masticspoke.fleet.knowledge.messages import AskRegistrySnapshot
+from _masticspoke.fleet.knowledge.messages import RegistrySnapshot
 from _masticspoke.fleet.knowledge.registry_freshness import confirmed_age_s
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
 from _masticspoke.fleet.knowledge.registry_state import version_in_force
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
 from _masticspoke.fleet.knowledge.relay_messages import News
-from _masticspoke.fleet.messages import AskRegistrySnapshot
-from _masticspoke.fleet.messages import RegistrySnapshot
 
 # For this long, a change is sent with each exchange that this node starts with a peer.
 _RECENT_CHANGE_S = 5.0
--- a/src/_masticspoke/fleet/knowledge/registry_restore.py
+++ b/src/_masticspoke/fleet/knowledge/registry_restore.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from _masticspoke.decisions.fleet.log_era import may_rely_on_log
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
+from _masticspoke.fleet.knowledge.messages import LogRestored
+from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.registry_state import RegistryState
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import LogRestored
-from _masticspoke.fleet.messages import Unsaved
 
 # Source of what comes from the log itself, in messages and log lines.
 LOG_SOURCE = "log"
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -18,11 +18,11 @@
 from _masticspoke.fleet.guard.gate import GateMessage
 from _masticspoke.fleet.knowledge.crash_messages import RunAbandoned
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
+from _masticspoke.fleet.knowledge.messages import Deregistered
+from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
 from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import Deregistered
-from _masticspoke.fleet.messages import Unsaved
 from _masticspoke.fleet.quota.messages import KeeperMessage
 from _masticspoke.fleet.quota.messages import QuotaMessage
 from _masticspoke.fleet.reporting.counts import TrailMessage
--- a/src/_masticspoke/fleet/knowledge/relaying.py
+++ b/src/_masticspoke/fleet/knowledge/relaying.py
@@ -25,6 +25,10 @@
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
+from _masticspoke.fleet.knowledge.messages import AskRegistrySnapshot
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
+from _masticspoke.fleet.knowledge.messages import RegistrySnapshot
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
 from _masticspoke.fleet.knowledge.relay_messages import ChooseRelay
@@ -33,10 +37,6 @@
 from _masticspoke.fleet.knowledge.relay_messages import RelayAsked
 from _masticspoke.fleet.knowledge.relay_messages import RelaySilent
 from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
-from _masticspoke.fleet.messages import AskRegistrySnapshot
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import RegistrySnapshot
-from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.http_pool import ExpiredError
--- a/src/_masticspoke/fleet/knowledge/restore_watch.py
+++ b/src/_masticspoke/fleet/knowledge/restore_watch.py
@@ -8,8 +8,8 @@
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
+from _masticspoke.fleet.knowledge.messages import LogRestored
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
-from _masticspoke.fleet.messages import LogRestored
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.supervise.lifecycle import ChildBody
--- a/src/_masticspoke/fleet/knowledge/sync.py
+++ b/src/_masticspoke/fleet/knowledge/sync.py
@@ -29,12 +29,12 @@
 from _masticspoke.fleet.dialect import Dialect
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
+from _masticspoke.fleet.knowledge.messages import AskRegistrySnapshot
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
+from _masticspoke.fleet.knowledge.messages import PeersAsked
+from _masticspoke.fleet.knowledge.messages import RegistrySnapshot
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
-from _masticspoke.fleet.messages import AskRegistrySnapshot
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import PeersAsked
-from _masticspoke.fleet.messages import RegistrySnapshot
-from _masticspoke.fleet.messages import ServersReceived
 from _masticspoke.http_server import Handler
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
--- a/src/_masticspoke/fleet/quota/keeper.py
+++ b/src/_masticspoke/fleet/quota/keeper.py
@@ -19,7 +19,7 @@
 from _masticspoke.decisions.fleet.quota_keeper import QuotaResponse
 from _masticspoke.decisions.fleet.quota_keeper import shares
 from _masticspoke.decisions.fleet.quota_keeper import tick_s
-from _masticspoke.fleet.messages import ServersChanged
+from _masticspoke.fleet.dispatch.messages import ServersChanged
 from _masticspoke.fleet.quota.messages import AskShares
 from _masticspoke.fleet.quota.messages import KeeperAsked
 from _masticspoke.fleet.quota.messages import KeeperMessage
--- a/src/_masticspoke/fleet/quota/messages.py
+++ b/src/_masticspoke/fleet/quota/messages.py
@@ -13,7 +13,7 @@
 from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.quota_keeper import QuotaQuery
 from _masticspoke.decisions.fleet.quota_keeper import QuotaResponse
-from _masticspoke.fleet.messages import ServersChanged
+from _masticspoke.fleet.dispatch.messages import ServersChanged
 from _masticspoke.supervise.mailbox import Reply
 
 
--- a/src/_masticspoke/fleet/quota/tokens.py
+++ b/src/_masticspoke/fleet/quota/tokens.py
@@ -9,7 +9,7 @@
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.quota_ranking import group_of
 from _masticspoke.events import Event
-from _masticspoke.fleet.messages import ServersChanged
+from _masticspoke.fleet.dispatch.messages import ServersChanged
 from _masticspoke.fleet.quota.asking import next_due_at
 from _masticspoke.fleet.quota.asking import send_queries
 from _masticspoke.fleet.quota.messages import AskQuotaCounts
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -15,7 +15,7 @@
 from _masticspoke.decisions.fleet.learned_limit import Move
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.events import Event
-from _masticspoke.fleet.messages import GuardState
+from _masticspoke.fleet.guard.messages import GuardState
 from _masticspoke.fleet.quota.messages import QuotaCounts
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.metrics.families import Metric
--- a/src/_masticspoke/platform/control_plane.py
+++ b/src/_masticspoke/platform/control_plane.py
@@ -21,9 +21,9 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.events import Event
+from _masticspoke.fleet.knowledge.messages import Deregistered
+from _masticspoke.fleet.knowledge.messages import Heartbeat
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
-from _masticspoke.fleet.messages import Deregistered
-from _masticspoke.fleet.messages import Heartbeat
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.http_server import Handler
--- a/testing/fleet/knowledge/test_log_values.py
+++ b/testing/fleet/knowledge/test_log_values.py
@@ -13,9 +13,9 @@
 from _masticspoke.fleet.knowledge.followers import OnRead
 from _masticspoke.fleet.knowledge.log_values import LogValuesPort
 from _masticspoke.fleet.knowledge.log_values import on_configuration
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
-from _masticspoke.fleet.messages import ConfigurationReceived
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.platform.node import DIALECT
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -10,6 +10,8 @@
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
+from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
+from _masticspoke.fleet.knowledge.messages import LogHealth
 from _masticspoke.fleet.knowledge.registry import registry
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.registry_state import RegistryPort
@@ -17,8 +19,6 @@
 from _masticspoke.fleet.knowledge.relay_messages import AskNews
 from _masticspoke.fleet.knowledge.relay_messages import News
 from _masticspoke.fleet.knowledge.relay_messages import VersionConfirmed
-from _masticspoke.fleet.messages import ConfigurationReceived
-from _masticspoke.fleet.messages import LogHealth
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.fleet.reporting.event_record import EventRecord
 from _masticspoke.supervise.latest import Latest
--- a/testing/fleet/knowledge/test_relaying.py
+++ b/testing/fleet/knowledge/test_relaying.py
@@ -25,7 +25,7 @@
 from _masticspoke.decisions.fleet.suspects import CRASHES_TO_QUARANTINE
 from _masticspoke.decisions.fleet.suspects import Incarnation
 from _masticspoke.fleet.knowledge.crash_messages import BackendCrashed
-from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.model import Address
 from _masticspoke.supervise.clocks import boot_clock
 
--- a/testing/fleet/quota/quota_world.py
+++ b/testing/fleet/quota/quota_world.py
@@ -26,7 +26,7 @@
 from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.model import QuotaBounds
 from _masticspoke.decisions.fleet.quota_keeper import advance
-from _masticspoke.fleet.messages import ServersChanged
+from _masticspoke.fleet.dispatch.messages import ServersChanged
 from _masticspoke.fleet.quota import keeper as keeper_module
 from _masticspoke.fleet.quota import tokens as tokens_module
 from _masticspoke.fleet.quota.keeper import KeeperTask
--- a/testing/fleet/test_backend_notices.py
+++ b/testing/fleet/test_backend_notices.py
@@ -14,7 +14,7 @@
 
 from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.pacing import MAX_UNCONFIRMED_RUNS
-from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 
 # The platform's rule: in a window, 1.5 times the limit, and 5 requests.
 WINDOW_S = 4.0
--- a/testing/fleet/test_configuration_spread.py
+++ b/testing/fleet/test_configuration_spread.py
@@ -13,7 +13,7 @@
 from _masticspoke.border.sync import decode_sync
 from _masticspoke.border.sync import encode_sync
 from _masticspoke.border.sync import SyncMessage
-from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.model import Address
 
 # Bounds of the platform, seconds: a disturbed node counts again after the first, and a
--- a/testing/fleet/test_limit_learning.py
+++ b/testing/fleet/test_limit_learning.py
@@ -12,7 +12,7 @@
 from _masticspoke.fleet.guard.limit_learning import record_start
 from _masticspoke.fleet.guard.limit_learning import reset
 from _masticspoke.fleet.guard.limit_learning import update_limit
-from _masticspoke.fleet.messages import GuardState
+from _masticspoke.fleet.guard.messages import GuardState
 from _masticspoke.fleet.reporting.counts import TrailMessage
 from _masticspoke.supervise.mailbox import Mailbox
 
--- a/testing/fleet/test_silent_guard.py
+++ b/testing/fleet/test_silent_guard.py
@@ -18,7 +18,7 @@
 from _masticspoke.border.hop import GuardAnswer
 from _masticspoke.border.hop import JOB_HEADER
 from _masticspoke.decisions.fleet.model import GuardLoad
-from _masticspoke.fleet.messages import ServersReceived
+from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.model import Address
 
 SILENT_S = 1.2
