Keys: a read of a part of the log's records confirms no version

An answer of the log holds a bounded number of bytes. A node that lagged behind, as after a suspension, took the last version in such an answer for the newest, with the time of the query, and so went on accepting a key that a later record had removed. The answer names the end of the stream: only a read that reaches it confirms a version. The new test fails without the condition (confirmed 8 at 6.0 while version 9 was acknowledged before).

What the reads have shown is now in a state class, in place of a variable of the closure.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -37,6 +37,7 @@
 from _masticspoke.fleet.knowledge.followers import Following
 from _masticspoke.fleet.knowledge.followers import keyed_follower
 from _masticspoke.fleet.knowledge.followers import states_writer
+from _masticspoke.fleet.knowledge.log_values import ConfigurationReads
 from _masticspoke.fleet.knowledge.log_values import LogValuesPort
 from _masticspoke.fleet.knowledge.log_values import on_configuration
 from _masticspoke.fleet.knowledge.log_values import on_states
@@ -132,7 +133,7 @@
             active=parts.reads_log,
             clock=boot_clock,
         ),
-        on_configuration(log_values),
+        on_configuration(log_values, ConfigurationReads()),
         parts.eras,
     )
     states_follower = keyed_follower(
--- a/src/_masticspoke/fleet/knowledge/followers.py
+++ b/src/_masticspoke/fleet/knowledge/followers.py
@@ -64,11 +64,14 @@
     :param anew: whether earlier records may have been missed.
     :param sent_at: time at which the read was sent; what the log acknowledged before
         is in this read or an earlier one, unless it was missed.
+    :param reaches_end: whether that holds. A node that lags behind reads a long stream
+        in several parts.
     """
 
     pairs: tuple[tuple[str, bytes], ...]
     anew: bool
     sent_at: float
+    reaches_end: bool
 
 
 OnRead = Callable[[KeyedRead], None]
@@ -166,7 +169,7 @@
         return newest, False
     registry.tell(LogHealth(stream, None))
     poll_client = replace(client, timeout_s=POLL_MARGIN_S)
-    on_read(KeyedRead(tuple(newest.values.items()), True, sent_at))
+    on_read(KeyedRead(tuple(newest.values.items()), True, sent_at, True))
     offset = newest.next_offset
     while following.active.is_on:
         wait_s = following.read_wait_s()
@@ -184,7 +187,7 @@
             # The log no longer retains the records at this offset, or was restored.
             return LogFault.OFFSET_MISMATCH, True
         registry.tell(LogHealth(stream, None))
-        on_read(KeyedRead(_pairs(result), False, sent_at))
+        on_read(KeyedRead(_pairs(result), False, sent_at, result.reaches_end))
         offset = result.next_offset
         pause_s = following.batch_pause_s() if result.records else 0.0
         if pause_s > 0:
--- a/src/_masticspoke/fleet/knowledge/log_values.py
+++ b/src/_masticspoke/fleet/knowledge/log_values.py
@@ -37,18 +37,28 @@
     dialect: Dialect
 
 
-def on_configuration(port: LogValuesPort) -> OnRead:
+@final
+@dataclass(slots=True)
+class ConfigurationReads:
+    """What the reads of the configuration have shown so far.
+
+    :param newest: newest usable version since the stream was read anew; ``None`` if
+        there is none, or if one may have been missed.
+    """
+
+    newest: int | None = None
+
+
+def on_configuration(port: LogValuesPort, reads: ConfigurationReads) -> OnRead:
     """Return what passes on each version, and confirms the newest one.
 
     A configuration that can't be used makes no version: the one before it stays the
     newest, unless a version before it may have been missed.
     """
-    newest: int | None = None
 
     def on_read(read: KeyedRead) -> None:
-        nonlocal newest
         if read.anew:
-            newest = None
+            reads.newest = None
         for key, raw in read.pairs:
             if key != port.dialect.configuration_key or not raw:
                 continue
@@ -60,11 +70,11 @@
                 )
                 port.trail.tell(record)
                 continue
-            newest = max(newest or 0, configuration.version)
+            reads.newest = max(reads.newest or 0, configuration.version)
             port.registry.tell(ConfigurationReceived(configuration, raw, LOG_SOURCE))
-        if newest is not None:
+        if reads.newest is not None and read.reaches_end:
             # The registry handles it after the version itself.
-            port.registry.tell(VersionConfirmed(newest, read.sent_at, True))
+            port.registry.tell(VersionConfirmed(reads.newest, read.sent_at, True))
 
     return on_read
 
--- a/src/_masticspoke/platform/log.py
+++ b/src/_masticspoke/platform/log.py
@@ -68,12 +68,15 @@
     :param era: era of the log; ``None`` if the answer names none.
     :param next_offset: offset of the next read.
     :param oldest_offset: oldest offset that is still retained.
+    :param reaches_end: whether the stream had no further records. One answer holds a
+        bounded number of bytes.
     """
 
     records: tuple[LogRecord, ...]
     next_offset: int
     oldest_offset: int
     era: int | None = field(default=None, compare=False)
+    reaches_end: bool = True
 
 
 @final
@@ -184,7 +187,7 @@
                 return LogFault.NOT_DONE
             if response.status == 410:
                 oldest = int(json.loads(body)["first_offset"])
-                return ReadResult((), oldest, oldest, era)
+                return ReadResult((), oldest, oldest, era, reaches_end=False)
             if response.status != 200:
                 return LogFault.NOT_DONE
             return _read_result(stream, offset, body, era)
@@ -201,12 +204,13 @@
 def _read_result(stream: str, offset: int, body: bytes, era: int | None) -> ReadResult:
     end, oldest = _OFFSET_RANGE.unpack_from(body)
     if end < offset:
-        return ReadResult((), oldest, oldest, era)
+        return ReadResult((), oldest, oldest, era, reaches_end=False)
     records = tuple(
         LogRecord(stream, offset + number, data)
         for number, data in enumerate(_records(body, _OFFSET_RANGE.size))
     )
-    return ReadResult(records, offset + len(records), oldest, era)
+    next_offset = offset + len(records)
+    return ReadResult(records, next_offset, oldest, era, next_offset >= end)
 
 
 def _records(body: bytes, position: int) -> Iterator[bytes]:
--- a/testing/fleet/knowledge/test_log_values.py
+++ b/testing/fleet/knowledge/test_log_values.py
@@ -11,6 +11,7 @@
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.followers import KeyedRead
 from _masticspoke.fleet.knowledge.followers import OnRead
+from _masticspoke.fleet.knowledge.log_values import ConfigurationReads
 from _masticspoke.fleet.knowledge.log_values import LogValuesPort
 from _masticspoke.fleet.knowledge.log_values import on_configuration
 from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
@@ -37,14 +38,18 @@
 
     def __post_init__(self) -> None:
         port = LogValuesPort(self.registry, self.trail, DIALECT)
-        self.on_read = on_configuration(port)
+        self.on_read = on_configuration(port, ConfigurationReads())
 
     def read(
-        self, *values: bytes, anew: bool = False, sent_at: float = 5.0
+        self,
+        *values: bytes,
+        anew: bool = False,
+        sent_at: float = 5.0,
+        reaches_end: bool = True,
     ) -> list[str]:
         """Return what one read tells the registry, in short."""
         pairs = tuple(("config", value) for value in values)
-        self.on_read(KeyedRead(pairs, anew, sent_at))
+        self.on_read(KeyedRead(pairs, anew, sent_at, reaches_end))
         return [short(message) for message in self.registry.receive_nowait()]
 
 
@@ -102,3 +107,11 @@
     assert reader.read(BROKEN, anew=True) == []
     assert reader.read() == []
     assert reader.read(raw(8)) == ["received 8", "confirmed 8 at 5.0"]
+
+
+def test_read_of_a_part_of_the_stream_confirms_nothing() -> None:
+    """A node that lags behind hasn't read the version that removed a key yet."""
+    reader = Reader()
+    reader.read(raw(7), anew=True)
+    assert reader.read(raw(8), sent_at=6.0, reaches_end=False) == ["received 8"]
+    assert reader.read(raw(9), sent_at=7.0) == ["received 9", "confirmed 9 at 7.0"]
--- a/testing/platform/test_log.py
+++ b/testing/platform/test_log.py
@@ -79,7 +79,24 @@
         stream = log.stream("s")
         log.add(stream, [b"a", b"b", b"c"])
         log.trim(stream, 2)
-        assert await read(client, "s", 0, 0.0) == ReadResult((), 2, 2)
+        assert await read(client, "s", 0, 0.0) == ReadResult(
+            (), 2, 2, reaches_end=False
+        )
+
+    run_scenario(scenario)
+
+
+def test_answer_with_a_part_of_the_records_says_so() -> None:
+    """A reader that takes it for the end believes an old value to be the newest."""
+
+    async def scenario(log: LogService, client: LogClient) -> None:
+        log.add(log.stream("s"), [b"a"] * 1500)
+        first = await read(client, "s", 0, 0.0)
+        assert isinstance(first, ReadResult)
+        assert (first.next_offset, first.reaches_end) == (1000, False)
+        rest = await read(client, "s", first.next_offset, 0.0)
+        assert isinstance(rest, ReadResult)
+        assert (rest.next_offset, rest.reaches_end) == (1500, True)
 
     run_scenario(scenario)
 
@@ -93,7 +110,7 @@
         log.add(stream, [b"b", b"c"])
         log.restore(copy)
         result = await read(client, "s", 3, 0.0)
-        assert result == ReadResult((), 0, 0)
+        assert result == ReadResult((), 0, 0, reaches_end=False)
 
     run_scenario(scenario)
 
