Limits of head routes: no room from routes without requests; idle routes are forgotten

A limit ended only when a request of its route came. All limits end in time now, and a limit that is not in use only falls. Each of the three tests fails on the code before.

--- a/src/_masticspoke/decisions/fleet/run_outcomes.py
+++ b/src/_masticspoke/decisions/fleet/run_outcomes.py
@@ -161,9 +161,8 @@
     route = None if job.nested else outcomes.routes.get(job.route)
     if route is None or route.limit is None:
         return True
-    if now - route.wasted_at > LIMIT_TTL_S:
-        route.limit = None
-        outcomes.limited.pop(job.route, None)
+    _end_old_limits(outcomes, now)
+    if route.limit is None:
         return True
     if not _has_room(route, route.limit, now):
         route.refused_at = now
@@ -178,14 +177,26 @@
     return True
 
 
+def _end_old_limits(outcomes: RunOutcomes, now: float) -> None:
+    """End limits without a recent wasted run, also of routes without requests."""
+    old = [n for n, r in outcomes.limited.items() if now - r.wasted_at > LIMIT_TTL_S]
+    for name in old:
+        outcomes.limited.pop(name).limit = None
+
+
 def _take_room(outcomes: RunOutcomes, route: RouteOutcomes) -> None:
-    """Move a part of the limit of the least urgent route to a more urgent one."""
+    """Move a part of the limit of the least urgent route to a more urgent one.
+
+    A limit that isn't in use falls too, but it is no room that could be moved.
+    """
     other = _least_urgent(outcomes, route)
     if other is route or route.limit is None or other.limit is None:
         return
+    in_use = other.running >= int(other.limit * IN_USE_FRACTION)
     taken = min(TAKEN_PER_REFUSAL, other.limit - _floor(outcomes))
     other.limit -= taken
-    route.limit += taken
+    if in_use:
+        route.limit += taken
 
 
 def _has_room(route: RouteOutcomes, limit: float, now: float) -> bool:
@@ -203,14 +214,27 @@
     if job.nested:
         return
     route = outcomes.routes.get(job.route)
-    if route is None and len(outcomes.routes) < MAX_ROUTES:
-        route = outcomes.routes[job.route] = RouteOutcomes(job.rank)
+    if route is None:
+        _forget_idle_route(outcomes, now)
+        if len(outcomes.routes) < MAX_ROUTES:
+            route = outcomes.routes[job.route] = RouteOutcomes(job.rank)
     if route is not None:
         outcomes.admitted[ticket] = job
         route.running += 1
         route.started_at = now
 
 
+def _forget_idle_route(outcomes: RunOutcomes, now: float) -> None:
+    """Make room for another route, if one has had no request for long enough."""
+    if len(outcomes.routes) < MAX_ROUTES:
+        return
+    idle = [(r.started_at, n) for n, r in outcomes.routes.items() if r.running == 0]
+    started_at, name = min(idle, default=(now, ""))
+    if now - started_at > LIMIT_TTL_S:
+        del outcomes.routes[name]
+        outcomes.limited.pop(name, None)
+
+
 def record_end(
     outcomes: RunOutcomes, ticket: int, outcome: RunOutcome, run_s: float, now: float
 ) -> None:
--- a/testing/decisions/fleet/test_run_outcomes.py
+++ b/testing/decisions/fleet/test_run_outcomes.py
@@ -14,6 +14,7 @@
 from _masticspoke.decisions.fleet.run_outcomes import record_admitted
 from _masticspoke.decisions.fleet.run_outcomes import record_end
 from _masticspoke.decisions.fleet.run_outcomes import record_pressure
+from _masticspoke.decisions.fleet.run_outcomes import RouteOutcomes
 from _masticspoke.decisions.fleet.run_outcomes import RunOutcome
 from _masticspoke.decisions.fleet.run_outcomes import RunOutcomes
 
@@ -135,3 +136,56 @@
 
     assert len(outcomes.routes) == MAX_ROUTES
     assert not outcomes.admitted
+
+
+# Guards against deployments whose routes were renamed often: their new routes would
+# never have a limit.
+def test_routes_without_requests_make_room_for_others() -> None:
+    outcomes = RunOutcomes()
+    for number in range(MAX_ROUTES):
+        record_admitted(outcomes, number, job(number, route=f"route{number}"), 0.0)
+        if number:
+            record_end(outcomes, number, RunOutcome.SUCCEEDED, 0.1, 0.1)
+    record_admitted(outcomes, 900, job(900, route="route1"), LIMIT_TTL_S)
+    record_admitted(outcomes, 901, job(901, route="new"), LIMIT_TTL_S + 1.0)
+
+    assert {"route0", "route1", "new"} <= set(outcomes.routes)
+    assert len(outcomes.routes) == MAX_ROUTES
+
+
+def two_limited(urgent: float, other: float) -> RunOutcomes:
+    """Return two routes with limits; none of them has a run."""
+    outcomes = RunOutcomes()
+    for name, rank, limit in [("urgent", 0, urgent), ("other", 5, other)]:
+        route = RouteOutcomes(rank, limit=limit, wasted_at=100.0)
+        outcomes.routes[name] = outcomes.limited[name] = route
+    return outcomes
+
+
+def admitted_of(outcomes: RunOutcomes, requests: int, now: float) -> int:
+    """Return how many requests of the urgent route begin, none of which ends."""
+    admitted = 0
+    for ticket in range(requests):
+        entering = job(ticket, route="urgent", rank=0, deadline=now + 9.0)
+        if admits(outcomes, entering, now):
+            record_admitted(outcomes, ticket, entering, now)
+            admitted += 1
+    return admitted
+
+
+# Guards against a limit that rises with each refusal, on account of a less urgent route
+# whose clients have left: the called services have no such room.
+def test_room_that_a_less_urgent_route_does_not_use_is_not_taken() -> None:
+    outcomes = two_limited(urgent=4.0, other=20.0)
+
+    assert admitted_of(outcomes, 300, now=101.0) <= 5
+
+
+def test_limit_of_a_route_without_requests_ends_too() -> None:
+    """Otherwise it takes the reductions that are due to the routes in use."""
+    outcomes = two_limited(urgent=4.0, other=20.0)
+    outcomes.routes["urgent"].wasted_at = 101.0 + LIMIT_TTL_S
+    admitted_of(outcomes, 1, now=101.0 + LIMIT_TTL_S)
+
+    assert list(outcomes.limited) == ["urgent"]
+    assert outcomes.routes["other"].limit is None
