Keys: a text in place of a list of keys makes no version

The text was taken for a list of its characters, so that a client with one right letter as its key was served for the organisation. A quota that is a boolean or a text makes no version either. The four new cases of test_malformed_organisations_make_no_configuration fail on the code before.

--- a/src/_masticspoke/platform/configuration.py
+++ b/src/_masticspoke/platform/configuration.py
@@ -85,6 +85,7 @@
     """Return the organisations by key; ``None`` without a table.
 
     :raises ValueError: if two organisations share a key or a name.
+    :raises TypeError: if a field is of another type.
     """
     if table is None:
         return None
@@ -95,12 +96,28 @@
         if organisation.name in names:
             raise ValueError("two organisations with one name")
         names.add(organisation.name)
-        for key in map(_name, row.get("api_keys", [])):
+        for key in map(_name, _list(row.get("api_keys", []))):
             if by_key.setdefault(key, organisation) is not organisation:
                 raise ValueError("two organisations with one key")
     return by_key
 
 
+def _list(value: Any) -> list[Any]:
+    """Return a list; a text in its place isn't taken for a list of characters."""
+    if not isinstance(value, list):
+        raise TypeError("not a list")
+    return value
+
+
+def _quota(value: Any) -> float:
+    if isinstance(value, bool | str):
+        raise TypeError("not a number")
+    quota = finite_number(value)
+    if quota < 0:
+        raise ValueError("a negative quota")
+    return quota
+
+
 def _name(value: Any) -> str:
     if value == "":
         raise ValueError("an empty name or key")
@@ -108,15 +125,11 @@
 
 
 def _organisation(row: Mapping[str, Any]) -> Organisation:
-    rate_per_s = finite_number(row.get("rate_per_s", 0))
-    burst = finite_number(row.get("burst", 0))
-    if rate_per_s < 0 or burst < 0:
-        raise ValueError("a negative quota")
     return Organisation(
         name=_name(row["name"]),
         rank=whole_number(row["priority"]) if "priority" in row else None,
-        rate_per_s=rate_per_s,
-        burst=burst,
+        rate_per_s=_quota(row.get("rate_per_s", 0)),
+        burst=_quota(row.get("burst", 0)),
     )
 
 
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -119,6 +119,11 @@
         [["o1", [""], 1, 1, 1]],
         [["", ["k1"], 1, 1, 1]],
         [["o1", ["k1"], "first", 1, 1]],
+        # As a list of characters, it would be three keys that are easy to guess.
+        [["o1", "k12", 1, 1, 1]],
+        [["o1", {"k1": 1}, 1, 1, 1]],
+        [["o1", ["k1"], 1, True, 1]],
+        [["o1", ["k1"], 1, 1, "5"]],
     ],
 )
 def test_malformed_organisations_make_no_configuration(
