--- a/review/harness-2/fleet2.py
+++ b/review/harness-2/fleet2.py
@@ -366,6 +366,14 @@
     started: float = field(default_factory=time.monotonic)
     version: int = 0
     bounds: str = BOUNDS
+    limits: dict[str, int] = field(
+        default_factory=lambda: {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout_ms": 5000,
+            "idle_timeout_ms": 20000,
+        }
+    )
     network: str = field(
         default_factory=lambda: f"127.{random.randint(20, 120)}.{random.randint(1, 250)}"
     )
@@ -410,12 +418,7 @@
                 "columns": ["name", "health_check_path"],
                 "rows": [[service, "/health"] for service in services],
             },
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 1048576,
-                "header_timeout_ms": 5000,
-                "idle_timeout_ms": 20000,
-            },
+            "limits": self.limits,
         }
         if keys is not None:
             tenants = {"columns": ["name", "api_keys"], "rows": [*keys.items()]}
