Move the encoding of HTTP answers to border/

Change: heads, chunks and reason phrases of answers are encoded in border/http_answer.py, beside http_head.py. No behaviour changes. Result: test_http_server.py and test_http_pipelining.py pass.

--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -6,7 +6,6 @@
 import contextlib
 from collections.abc import AsyncIterable
 from collections.abc import Mapping
-from http import HTTPStatus
 from typing import final
 from typing import TYPE_CHECKING
 
@@ -18,7 +17,10 @@
 from loguru import logger
 from multidict import CIMultiDict
 
-from _masticspoke.border.http_head import encode_head
+from _masticspoke.border.http_answer import encode_answer_head
+from _masticspoke.border.http_answer import encode_chunk
+from _masticspoke.border.http_answer import encode_whole
+from _masticspoke.border.http_answer import LAST_CHUNK
 from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.connections import READ_BUFFER_BYTES
 from _masticspoke.decisions.fleet.model import Limits
@@ -48,7 +50,6 @@
 # The headers are measured only when more bytes than this were received. Operators are
 # assumed to set no lower header limit.
 _UNMEASURED_HEAD_BYTES = 1_024
-_REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 # Answers with these statuses never have a body.
 _BODILESS_STATUSES = frozenset({204, 304})
 _CHUNKED = ("Transfer-Encoding", "chunked")
@@ -58,7 +59,6 @@
     NoBodyMemoryError: Response(503),
     IncompleteBodyError: Response(400, body=b"the body did not arrive whole\n"),
 }
-_LAST_CHUNK = b"0\r\n\r\n"
 
 
 @final
@@ -338,9 +338,7 @@
         if omit_body or response.status in _BODILESS_STATUSES:
             length, body = None, b""
         if self.transport is not None:
-            head = _encode_response_head(
-                response.status, response.headers, length, closes
-            )
+            head = encode_answer_head(response.status, response.headers, length, closes)
             self.transport.write(head + body)
 
     async def stream(
@@ -365,9 +363,9 @@
         try:
             if length is None:
                 headers = CIMultiDict([*headers.items(), _CHUNKED])
-            encode = _whole if length is not None else _encode_chunk
+            encode = encode_whole if length is not None else encode_chunk
             closes = self._closes_after(exchange)
-            head = _encode_response_head(status, headers, length, closes)
+            head = encode_answer_head(status, headers, length, closes)
             exchange.answer_begun = True
             self.transport.write(head)
             async for chunk in body:
@@ -375,25 +373,10 @@
                 if self.transport is not None:
                     self.transport.write(encode(chunk))
             if length is None and self.transport is not None:
-                self.transport.write(_LAST_CHUNK)
+                self.transport.write(LAST_CHUNK)
             await self._drain_helper()
         except BaseException:
             if self.transport is not None:
                 self.transport.abort()
             raise
         return Streamed()
-
-
-def _whole(chunk: bytes) -> bytes:
-    return chunk
-
-
-def _encode_chunk(chunk: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(chunk), chunk)
-
-
-def _encode_response_head(
-    status: int, headers: Mapping[str, str], length: int | None, closes: bool
-) -> bytes:
-    status_line = f"HTTP/1.1 {status} {_REASON_PHRASES.get(status, '')}"
-    return encode_head(status_line, headers, length, closes)
