--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -38,6 +38,7 @@
     HANDLER_CRASHED = EventSpec(1103, "ERROR", "request handler crashed")
     SECOND_ANSWER_DROPPED = EventSpec(1104, "WARNING", "second answer dropped")
     REQUESTS_CUT = EventSpec(1201, "WARNING", "requests cut at the stop time limit")
+    HEAD_TIMED_OUT = EventSpec(1202, "INFO", "head of a request timed out")
     CATALOGUE_IN_FORCE = EventSpec(2001, "INFO", "catalogue version in force")
     CATALOGUE_REJECTED = EventSpec(2002, "WARNING", "catalogue change not accepted")
     LOG_UNAVAILABLE = EventSpec(2101, "WARNING", "log service does not answer")
--- a/src/_masticspoke/http_pipeline.py
+++ b/src/_masticspoke/http_pipeline.py
@@ -116,6 +116,7 @@
         "_counts",
         "_front",
         "_in_flight",
+        "_is_in_turn",
         "_is_stopped",
         "_queue",
         "_respond",
@@ -136,12 +137,23 @@
         self._queue: deque[Exchange | None] = deque()
         # The request whose turn it is.
         self._front: Exchange | None = None
+        self._is_in_turn = False
         self._is_stopped = False
 
     def __len__(self) -> int:
         """Return the number of requests whose turn has not come."""
         return len(self._queue)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether everything that was received has been answered."""
+        return not self._queue and not self._is_in_turn
+
+    @property
+    def is_in_turn(self) -> bool:
+        """Whether a request is being answered."""
+        return self._is_in_turn
+
     @property
     def is_stopped(self) -> bool:
         """Whether no further request is started."""
@@ -160,10 +172,12 @@
     def finish_turn(self) -> None:
         """Record that the current request has been answered."""
         self._front = None
+        self._is_in_turn = False
 
     def take(self) -> Exchange | None:
         """Begin the turn of the next request and return it."""
         self._front = front = self._queue.popleft()
+        self._is_in_turn = True
         if front is not None:
             self._remove_ahead(front)
             front.begin_turn()
--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -23,6 +23,13 @@
 from _masticspoke.border.http_answer import LAST_CHUNK
 from _masticspoke.connections import MAX_LINE_BYTES
 from _masticspoke.connections import READ_BUFFER_BYTES
+from _masticspoke.decisions.fleet.client_timeouts import Awaited
+from _masticspoke.decisions.fleet.client_timeouts import became_idle
+from _masticspoke.decisions.fleet.client_timeouts import ClientWait
+from _masticspoke.decisions.fleet.client_timeouts import overdue
+from _masticspoke.decisions.fleet.client_timeouts import received_head
+from _masticspoke.decisions.fleet.client_timeouts import received_part_of_head
+from _masticspoke.decisions.fleet.client_timeouts import waited_s
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
@@ -72,9 +79,8 @@
 
     __slots__ = (
         "__weakref__",
+        "_client_wait",
         "_handler",
-        "_head_started_at",
-        "_idle_since",
         "_is_lingering",
         "_is_pipelined",
         "_last_content",
@@ -114,8 +120,7 @@
         self._is_lingering = False
         # Counted since the connection was last idle.
         self._received_bytes = 0
-        self._idle_since: float | None = loop.time()
-        self._head_started_at: float | None = None
+        self._client_wait = ClientWait(loop.time())
 
     @property
     def remote(self) -> str:
@@ -154,11 +159,10 @@
             self._parse(data)
         except HttpProcessingError as error:
             self._reject_malformed(error)
-        self._track_head_start(data)
         waiting = len(self._pipeline)
         if waiting:
             self._wake()
-            self._is_pipelined |= waiting > 1 or self._idle_since is None
+            self._is_pipelined |= waiting > 1 or self._pipeline.is_in_turn
             if not self._server.draining:
                 self._pipeline.start_ahead()
             if waiting > _MAX_PIPELINED_REQUESTS and not self._buffer_paused:
@@ -174,7 +178,8 @@
         start, length = 0, len(data)
         while not self._stopped_parsing:
             end = length
-            if self._last_content.is_eof():
+            begins_head = self._last_content.is_eof()
+            if begins_head:
                 end = data.find(_HEAD_END, start) + len(_HEAD_END)
                 end = length if end < len(_HEAD_END) else end
             part = data if end - start == length else data[start:end]
@@ -182,6 +187,10 @@
             for head, content in messages:
                 self._pipeline.append(Exchange(head, content, self._server.bodies))
                 self._last_content = content
+            if messages:
+                received_head(self._client_wait)
+            elif begins_head:
+                received_part_of_head(self._client_wait, part, self._loop.time())
             if end == length:
                 return
             start = end
@@ -193,13 +202,6 @@
             self._last_content.set_exception(error)
         self._pipeline.append(None)
 
-    def _track_head_start(self, data: bytes) -> None:
-        """Record when a head began to arrive on an idle connection."""
-        if self._pipeline or not self._last_content.is_eof():
-            self._head_started_at = None
-        elif data and self._idle_since is not None and self._head_started_at is None:
-            self._head_started_at = self._loop.time()
-
     def _wake(self) -> None:
         waiter = self._waiter
         if waiter is not None and not waiter.done():
@@ -207,14 +209,17 @@
 
     def close_if_overdue(self, limits: Limits, now: float) -> None:
         """Close the connection if it exceeds the idle or the header timeout."""
-        if self._pipeline or self._idle_since is None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        wait, is_serving = self._client_wait, not self._pipeline.is_idle
+        late = overdue(wait, limits, now, is_serving=is_serving)
+        if late is None:
             return
-        if self._head_started_at is None:
-            if now - self._idle_since > limits.idle_timeout_s:
-                self.close()
-        elif now - self._head_started_at > limits.header_timeout_s:
+        if late is Awaited.REST_OF_HEAD:
+            waited_ms = int(waited_s(wait, now) * 1000)
+            log_event(Event.HEAD_TIMED_OUT, remote=self.remote, waited_ms=waited_ms)
             self._write(Response(408), closes=True)
-            self.close()
+        self.close()
 
     def close(self) -> None:
         """Close the connection after its written data is sent; cancel its requests."""
@@ -250,11 +255,10 @@
     async def _next_request(self) -> Exchange | None:
         self._pipeline.finish_turn()
         if not self._pipeline:
+            became_idle(self._client_wait, self._loop.time())
             self._received_bytes = 0
-            self._idle_since = self._loop.time()
             self._waiter = self._loop.create_future()
             await self._waiter
-            self._idle_since = self._head_started_at = None
         if self._server.draining:
             self._pipeline.stop()
         exchange = self._pipeline.take()
