Line breaks between two requests begin no head

What callers saw: a client that sends a line break behind a body, which RFC 9112 (2.2) asks servers to ignore, got an unasked 408 on its idle connection after the header timeout in place of a close after the idle one. Cause: any byte that was no body counted as the start of a head. Change: line breaks alone don't.

--- a/src/_masticspoke/decisions/fleet/client_timeouts.py
+++ b/src/_masticspoke/decisions/fleet/client_timeouts.py
@@ -17,6 +17,8 @@
 
 from _masticspoke.decisions.fleet.model import Limits
 
+_LINE_BREAKS = b"\r\n"
+
 
 @final
 class Awaited(Enum):
@@ -43,8 +45,11 @@
 
 
 def received_part_of_head(wait: ClientWait, data: bytes, now: float) -> None:
-    """Record data that belongs neither to a whole head nor to a body."""
-    if wait.head_since is None and data:
+    """Record data that belongs neither to a whole head nor to a body.
+
+    Clients may send line breaks between two requests.
+    """
+    if wait.head_since is None and data.strip(_LINE_BREAKS):
         wait.head_since = now
 
 
--- a/testing/test_http_server_timeouts.py
+++ b/testing/test_http_server_timeouts.py
@@ -218,6 +218,22 @@
     run_scenario(scenario)
 
 
+# Line breaks behind a body were taken for a head, and the idle connection got 408.
+@pytest.mark.parametrize("breaks", [b"\r\n", b"\r\n\r\n", b"\n"])
+def test_line_breaks_between_requests_begin_no_head(breaks: bytes) -> None:
+    async def scenario(client: Client) -> None:
+        await client.send(SIZED + b"abcdef")
+        await client.end_run()
+        await client.send(breaks)
+        client.sweep(LIMITS.header_timeout_s + 0.5)
+        assert not client.transport.closed
+        client.sweep(LIMITS.idle_timeout_s + 0.5)
+        assert client.transport.closed
+        assert client.statuses == [200]
+
+    run_scenario(scenario)
+
+
 _REQUESTS = st.lists(
     st.sampled_from(
         [GET, SIZED + b"abcdef", CHUNKED + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"]
