Count a head for max_header_bytes from its first byte

What callers saw: a head longer than max_header_bytes was taken if most of it had come before the answer to the request in front of it. Cause: the count of received bytes, which decides if a head is measured, began anew with that answer. Change: it begins anew only if no part of a head has arrived.

--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -256,7 +256,8 @@
         self._pipeline.finish_turn()
         if not self._pipeline:
             became_idle(self._client_wait, self._loop.time())
-            self._received_bytes = 0
+            if self._client_wait.head_since is None:
+                self._received_bytes = 0
             self._waiter = self._loop.create_future()
             await self._waiter
         if self._server.draining:
--- a/testing/test_http_server_timeouts.py
+++ b/testing/test_http_server_timeouts.py
@@ -234,6 +234,19 @@
     run_scenario(scenario)
 
 
+def test_long_head_that_began_behind_a_request_is_refused() -> None:
+    """Its first part counts for the limit although it came before the answer."""
+
+    async def scenario(client: Client) -> None:
+        long = GET[:-2] + b"X: " + b"x" * LIMITS.header_bytes + b"\r\n\r\n"
+        await client.send(GET + long[:-10])
+        await client.end_run()
+        await client.send(long[-10:])
+        assert client.statuses == [200, 431]
+
+    run_scenario(scenario)
+
+
 _REQUESTS = st.lists(
     st.sampled_from(
         [GET, SIZED + b"abcdef", CHUNKED + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"]
