--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 
 from _masticspoke.border.forwarding import forwarded_headers
+from _masticspoke.decisions.fleet.leaving import Leave
 from _masticspoke.decisions.fleet.lineage import Parents
 from _masticspoke.decisions.fleet.lineage import record_run_end
 from _masticspoke.decisions.fleet.lineage import record_run_start
@@ -337,10 +338,8 @@
     elif concerns_gate(port.guard_state.value, notice):
         port.gate.tell(BackendAnswered(server.instance, notice, sent_at))
     if notice.leaving and server.phase is Phase.READY:
-        reply: Reply[bool] = Reply()
-        port.registry.tell(
-            Deregistered(server.instance, server.born_ms, Phase.LEAVING, reply)
-        )
+        leave = Leave(server.instance, server.born_ms, server.sequence, Phase.LEAVING)
+        port.registry.tell(Deregistered(leave, Reply()))
 
 
 async def _read_answer(
--- a/src/_masticspoke/fleet/knowledge/messages.py
+++ b/src/_masticspoke/fleet/knowledge/messages.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import final
 
+from _masticspoke.decisions.fleet.leaving import Leave
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
-from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.suspects import CrashReport
 from _masticspoke.supervise.mailbox import Reply
 
@@ -36,14 +36,11 @@
 
     It has deregistered, or says in an answer that it is leaving.
 
-    :param born_ms: Unix time of the instance's start; ``None`` if it is not given.
-    :param phase: phase of the instance from now on, unless it is in a later one.
-    :param reply: answered once the server's phase is in the log.
+    :param reply: answered with ``True`` once the leave is in the log, and with
+        ``False`` if it can't be told from that of another incarnation.
     """
 
-    instance: str
-    born_ms: int | None
-    phase: Phase
+    leave: Leave
     reply: Reply[bool]
 
 
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
+from _masticspoke.decisions.fleet import leaving as leave_decisions
 from _masticspoke.decisions.fleet import members
 from _masticspoke.decisions.fleet.log_era import may_rely_on_log
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -159,30 +158,16 @@
     if local_server is None and not state.registry.states_heard:
         state.registry.early_deregistrations.append(message)
         return
-    if local_server is not None and _is_same_instance(message, local_server):
-        updated = replace(local_server, phase=max(local_server.phase, message.phase))
-        for server in _merge_servers(state, (updated,), "deregistration", now):
-            state.port.unsaved.tell(Unsaved(server))
-            _inform_gate(state, server)
-    elif local_server is None:
-        tombstone = _tombstone(state.backend_address, message)
-        for server in _merge_servers(state, (tombstone,), "deregistration", now):
-            state.port.unsaved.tell(Unsaved(server))
-    _answer_when_saved(state, message.reply)
-
-
-def _tombstone(address: Address, message: Deregistered) -> BackendServer:
-    """Return a state that keeps late heartbeats of an unknown instance out."""
-    return BackendServer(
-        address=address,
-        service="",
-        instance=message.instance,
-        born_ms=message.born_ms or 0,
-        sequence=0,
-        zone="",
-        slots=1,
-        phase=Phase.GONE,
+    leaving = leave_decisions.state_after(
+        message.leave, local_server, state.backend_address
     )
+    for server in _merge_servers(state, (leaving,), "deregistration", now):
+        state.port.unsaved.tell(Unsaved(server))
+        _inform_gate(state, server)
+    if leave_decisions.is_binding(message.leave, _local_server(state)):
+        _answer_when_saved(state, message.reply)
+    else:
+        message.reply.answer(False)
 
 
 def _set_states_heard(state: RegistryTask, now: float) -> None:
@@ -227,12 +212,6 @@
         state.port.gate.tell(LocalBackendState(message.server))
 
 
-def _is_same_instance(message: Deregistered, server: BackendServer) -> bool:
-    if message.instance != server.instance:
-        return False
-    return message.born_ms is None or message.born_ms == server.born_ms
-
-
 def _servers_received(
     state: RegistryTask, message: ServersReceived, now: float
 ) -> None:
--- a/src/_masticspoke/platform/control_plane.py
+++ b/src/_masticspoke/platform/control_plane.py
@@ -17,6 +17,7 @@
 from _masticspoke.border.json_values import MAX_WHOLE
 from _masticspoke.border.json_values import plain_text
 from _masticspoke.border.json_values import whole_number
+from _masticspoke.decisions.fleet.leaving import Leave
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Phase
@@ -90,11 +91,14 @@
     if not _is_name(instance):
         return Response(400, body=b"deregistration: the id is missing or no name\n")
     deregistration = _json_object(await request.body(_MAX_BODY_BYTES))
-    born = deregistration.get("born")
+    leave = Leave(
+        instance,
+        _whole_or_none(deregistration.get("born")),
+        _whole_or_none(deregistration.get("sequence")) or 0,
+        Phase.GONE,
+    )
     reply: Reply[bool] = Reply()
-    born_ms = born if _is_int(born) and 0 <= born <= MAX_WHOLE else None
-    message = Deregistered(instance, born_ms, Phase.GONE, reply)
-    return await _ask_registry(registry, message, reply)
+    return await _ask_registry(registry, Deregistered(leave, reply), reply)
 
 
 async def _ask_registry(
@@ -163,5 +167,9 @@
         return False
 
 
+def _whole_or_none(value: Any) -> int | None:
+    return value if _is_int(value) and 0 <= value <= MAX_WHOLE else None
+
+
 def _is_int(value: Any) -> TypeGuard[int]:
     return isinstance(value, int) and not isinstance(value, bool)
