A heartbeat that is older than a known one tells the gate nothing

What callers saw: after a backend server had crashed, a heartbeat that it had sent before made its gate admit requests to the dead address again. After a restart of the node, a heartbeat of an earlier start hid that the present server had announced itself, and its requests were refused until the next heartbeat. Cause: the registry looked only at the id in a heartbeat, not at its start and sequence, before it told the gate and kept it as the last one. Change: is_current() asks for the incarnation and the sequence. A server that reports no start counts as before, as it may have started again.

--- a/src/_masticspoke/decisions/fleet/members.py
+++ b/src/_masticspoke/decisions/fleet/members.py
@@ -42,6 +42,19 @@
     return update.sequence > known.sequence
 
 
+def is_current(update: BackendServer, known: BackendServer) -> bool:
+    """Return whether no later message of the server than ``update`` has been merged.
+
+    A server that reports no start may have started again under its id, so that any of
+    its messages may be the latest.
+
+    :param known: the state at its address, with ``update`` merged into it.
+    """
+    if (update.instance, update.born_ms) != (known.instance, known.born_ms):
+        return False
+    return update.born_ms == 0 or update.sequence >= known.sequence
+
+
 def must_propagate(update: BackendServer, known: BackendServer | None) -> bool:
     """Return whether the newer state ``update`` must be sent to other nodes.
 
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -110,10 +110,10 @@
 
 
 def _heartbeat(state: RegistryTask, message: Heartbeat, now: float) -> None:
-    state.registry.heartbeat = message.server
     changed = _merge_servers(state, (message.server,), "heartbeat", now)
     local_server = _local_server(state)
-    if local_server is not None and local_server.instance == message.server.instance:
+    if local_server is not None and members.is_current(message.server, local_server):
+        state.registry.heartbeat = message.server
         has_just_started = message.server.sequence <= _MAX_FIRST_SEQUENCE
         _inform_gate(state, local_server, has_just_started)
     for server in changed:
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -46,8 +46,8 @@
     :param faults: current errors of access to the log, by :attr:`LogHealth.source`.
     :param answered_at: time of the log's last answer, by :attr:`LogHealth.source`.
     :param changed_at: time of the last change of each server.
-    :param heartbeat: state in the last heartbeat of the local backend server; ``None``
-        before it. It may have been late.
+    :param heartbeat: state in the last heartbeat of the local backend server that was
+        not older than what was known; ``None`` before it. It may have been late.
     :param states_heard: whether the states in the log have been read once, here or by
         the relay that this node follows.
     :param early_deregistrations: received before that, of a server not known yet.
--- a/testing/decisions/fleet/test_members.py
+++ b/testing/decisions/fleet/test_members.py
@@ -8,6 +8,7 @@
 from testing.decisions.fleet.samples import server
 
 from _masticspoke.decisions.fleet.members import digest
+from _masticspoke.decisions.fleet.members import is_current
 from _masticspoke.decisions.fleet.members import Members
 from _masticspoke.decisions.fleet.members import merge
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -74,6 +75,22 @@
     assert ready_servers(members, "desk") == ()
 
 
+@pytest.mark.parametrize(
+    ("update", "current"),
+    [
+        (server(sequence=7), True),
+        (server(sequence=8), True),
+        (server(sequence=6), False),
+        (server(sequence=9, born_ms=500), False),
+        (server(sequence=9, instance="i-2"), False),
+    ],
+)
+def test_late_heartbeat_is_not_the_current_one(
+    update: BackendServer, current: bool
+) -> None:
+    assert is_current(update, server(sequence=7)) is current
+
+
 def test_merge_returns_only_changes() -> None:
     members = Members()
 
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -9,6 +9,7 @@
 from _masticspoke.decisions.fleet.model import Organisation
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.events import Event
+from _masticspoke.fleet.guard.gate import GateMessage
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
 from _masticspoke.fleet.knowledge.messages import LogHealth
@@ -36,10 +37,11 @@
         self.confirmation = Latest(Confirmation())
         self.inbox: Mailbox[RegistryMessage] = Mailbox(100)
         self.trail: Mailbox[TrailMessage] = Mailbox(100)
+        self.gate: Mailbox[GateMessage] = Mailbox(100)
         self.eras = EraWatch(lambda: self.now)
         port = RegistryPort(
             Latest(None),
-            Mailbox(100),
+            self.gate,
             Mailbox(100),
             Mailbox(100),
             Mailbox(100),
