The gate tells starts under the same id apart

What callers saw: a backend server that started again under its id was refused requests until its next heartbeat if the result of a connection to the earlier start came late; a late answer of that start could set or end its rate limit. Cause: what request tasks tell the gate of the server named only its id. Change: they name the state that they sent to, and the gate compares the start too.

--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -205,7 +205,7 @@
 
 
 def _backend_answered(state: GateState, message: BackendAnswered, now: float) -> None:
-    if state.server is None or state.server.instance != message.instance:
+    if state.server is None or _is_another_start(state.server, message.server):
         return
     if message.notice.slowdown is not None:
         state.learning.slowdown = message.notice.slowdown
@@ -217,7 +217,7 @@
         return
     if limit is not None or before is not None:
         fields = {
-            "instance": message.instance,
+            "instance": message.server.instance,
             "limit": limit,
             "before": before,
             "phase": pace.phase.value,
@@ -232,7 +232,7 @@
 def _backend_unreachable(
     state: GateState, message: BackendUnreachable, now: float
 ) -> None:
-    if state.server is not None and state.server.instance == message.instance:
+    if state.server is not None and not _is_another_start(state.server, message.server):
         _refuse_all(state, NotRun.ABSENT, now)
 
 
--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -320,7 +320,7 @@
     except ExpiredError:
         return EXPIRED
     except NotConnectedError:
-        port.gate.tell(BackendUnreachable(server.instance))
+        port.gate.tell(BackendUnreachable(server))
         return Declined(NotRun.ABSENT, _DEFAULT_RETRY_S)
     except (aiohttp.ClientError, ConnectionError) as error:
         return Interrupted(repr(error))
@@ -336,7 +336,7 @@
         record = EventRecord(Event.RATE_LIMIT_UNREADABLE, fields, Importance.FAILURE)
         port.trail.tell(record)
     elif concerns_gate(port.guard_state.value, notice):
-        port.gate.tell(BackendAnswered(server.instance, notice, sent_at))
+        port.gate.tell(BackendAnswered(server, notice, sent_at))
     if notice.leaving and server.phase is Phase.READY:
         leave = Leave(server.instance, server.born_ms, server.sequence, Phase.LEAVING)
         port.registry.tell(Deregistered(leave, Reply()))
--- a/src/_masticspoke/fleet/guard/messages.py
+++ b/src/_masticspoke/fleet/guard/messages.py
@@ -79,9 +79,12 @@
 @final
 @dataclass(frozen=True, slots=True)
 class BackendUnreachable:
-    """Request task to gate: the local backend server accepts no connection."""
+    """Request task to gate: the local backend server accepts no connection.
 
-    instance: str
+    :param server: state of the server when the request was sent.
+    """
+
+    server: BackendServer
 
 
 @final
@@ -92,11 +95,12 @@
     Sent while the gate paces requests or waits for a first answer, with each answer
     that names a limit, and when the slowdown that answers name has changed.
 
+    :param server: state of the server when the request was sent.
     :param notice: what the server says of itself; its limit is readable.
     :param sent_at: time at which the request was sent.
     """
 
-    instance: str
+    server: BackendServer
     notice: BackendNotice
     sent_at: float
 
