An append that the log does late replaces no later state

An append that got no answer "may be executed seconds later". When it came after an acknowledged leave, the newest state of the address in the log was READY again. Nodes that started after that read it, and a late heartbeat opened the gate: requests reached a server that had left. Cause: nothing ordered a node's appends at the log. Change: each append names the node's backend address as producer and an epoch above all earlier ones, as the log's protocol offers it; the log refuses lower ones. Epochs begin at the wall clock, so those of an earlier process are lower; after a clock that went back they advance with each refusal. The stand-in of the log checks conditions when it does a late append, as the protocol says, and knows sequences.

--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -156,6 +156,7 @@
         settings.log,
         parts.dialect.servers_stream,
         parts.eras,
+        str(settings.backend),
     )
     chooser = relay_chooser(
         parts.relay_chooser,
--- a/src/_masticspoke/fleet/knowledge/followers.py
+++ b/src/_masticspoke/fleet/knowledge/followers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -19,6 +20,7 @@
 from _masticspoke.border.crash_report import report_key
 from _masticspoke.connections import open_session
 from _masticspoke.decisions.backoff import pause_after
+from _masticspoke.decisions.fleet.append_epochs import next_epoch
 from _masticspoke.decisions.fleet.log_era import MAX_SPREAD_S
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.suspects import CrashReport
@@ -29,6 +31,7 @@
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
+from _masticspoke.platform.log import Fence
 from _masticspoke.platform.log import keyed_record
 from _masticspoke.platform.log import LogClient
 from _masticspoke.platform.log import LogFault
@@ -207,10 +210,14 @@
 
     :param unsaved: values that are not in the log yet, by key.
     :param waiting: replies that are answered once all of them are.
+    :param epoch: epoch of the last append; 0 before the first.
+    :param refusals: appends that the log has refused in a row for their epoch.
     """
 
     unsaved: dict[str, bytes] = field(default_factory=dict)
     waiting: list[Reply[bool]] = field(default_factory=list)
+    epoch: int = 0
+    refusals: int = 0
 
 
 def states_writer(
@@ -220,18 +227,24 @@
     log: Address,
     stream: str,
     eras: EraWatch,
+    producer: str,
 ) -> ChildBody:
     """Return the body of the task that appends this node's states and crash reports.
 
     An append that failed or whose answer was lost is repeated; a second equal record is
-    harmless.
+    harmless. An earlier append is never done after a later one.
+
+    :param producer: name of this node among the writers to the stream, for the log; it
+        outlives the process.
     """
 
     async def run(life: Lifecycle) -> None:
         life.mark_started()
         async with open_session(CONNECT_TIMEOUT_S) as session:
             client = LogClient(session, log, LOG_TIMEOUT_S, eras.answered)
-            await _append_until_cancelled(inbox, state, registry, client, stream)
+            await _append_until_cancelled(
+                inbox, state, registry, client, stream, producer
+            )
 
     return run
 
@@ -242,6 +255,7 @@
     registry: Mailbox[RegistryMessage],
     client: LogClient,
     stream: str,
+    producer: str,
 ) -> None:
     random = Random()
     failures = 0
@@ -252,7 +266,12 @@
         if state.unsaved:
             values = state.unsaved.items()
             records = [keyed_record(key, value) for key, value in values]
-            result = await append(client, stream, records)
+            wall_ms = int(time.time() * 1000)
+            state.epoch = next_epoch(state.epoch, wall_ms, state.refusals)
+            fence = Fence(producer, state.epoch)
+            result = await append(client, stream, records, fence=fence)
+            is_fenced = result is LogFault.FENCED
+            state.refusals = state.refusals + 1 if is_fenced else 0
             if isinstance(result, LogFault):
                 failures += 1
                 registry.tell(LogHealth("writer", result.value))
--- a/src/_masticspoke/platform/log.py
+++ b/src/_masticspoke/platform/log.py
@@ -48,9 +48,25 @@
         "the log refused the request or could not be reached; nothing was appended"
     )
     UNKNOWN = "the answer was lost; the records may have been appended"
+    FENCED = "the log has seen a later append of this writer; nothing was appended"
     OFFSET_MISMATCH = "the offset does not match the stream; nothing was appended"
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """Place of an append among those of one writer to a stream.
+
+    Once the log has done an append, it refuses those of the same producer with lower
+    epochs, however late they arrive.
+
+    :param epoch: higher with each append.
+    """
+
+    producer: str
+    epoch: int
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Appended:
@@ -120,14 +136,20 @@
     records: Sequence[bytes],
     *,
     expected_end: int | None = None,
+    fence: Fence | None = None,
 ) -> Appended | LogFault:
     """Append records to a stream, all or none.
 
     :param expected_end: append only if the stream ends at this offset.
+    :param fence: append only if no later append of the same writer was done.
     """
     query = {"topic": stream, "part": _PARTITION}
     if expected_end is not None:
         query["at"] = str(expected_end)
+    if fence is not None:
+        # The first sequence of an epoch is free.
+        query |= {"producer": fence.producer, "epoch": str(fence.epoch)}
+        query["sequence"] = "0"
     body = b"".join(_RECORD_LENGTH.pack(len(record)) + record for record in records)
     sent_at = boot_clock()
     try:
@@ -140,7 +162,7 @@
             text = await response.read()
             counts = client.on_answer(_era(response), sent_at)
             if response.status != 200:
-                return _append_fault(response.status)
+                return _append_fault(response.status, fence)
             if not counts:
                 return LogFault.UNKNOWN
             return Appended(int(json.loads(text)["offset"]))
@@ -152,9 +174,11 @@
         return LogFault.UNKNOWN
 
 
-def _append_fault(status: int) -> LogFault:
+def _append_fault(status: int, fence: Fence | None) -> LogFault:
     if status == 412:
         return LogFault.OFFSET_MISMATCH
+    if status == 409 and fence is not None:
+        return LogFault.FENCED
     return LogFault.NOT_DONE if status in _REFUSED_STATUSES else LogFault.UNKNOWN
 
 
--- a/testing/fleet/test_late_heartbeats.py
+++ b/testing/fleet/test_late_heartbeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from pathlib import Path
@@ -12,6 +13,7 @@
 from testing.fleet.platform_fleet import Node
 from testing.fleet.platform_fleet import PlatformFleet
 from testing.fleet.platform_fleet import run_scenario
+from testing.fleet.platform_fleet import wait_until
 from testing.fleet.test_acknowledged_leave import add_desk_and_entry
 from testing.fleet.test_acknowledged_leave import leave
 from testing.fleet.test_acknowledged_leave import phase_in_log
@@ -19,6 +21,7 @@
 from testing.standins.platform_backend import PlatformBackend
 
 from _masticspoke.decisions.fleet.model import Phase
+from _masticspoke.platform.names import SERVERS_STREAM
 
 LogCopy = dict[str, tuple[int, list[bytes]]]
 Aftermath = Callable[[PlatformFleet, Node, LogCopy], Awaitable[None]]
@@ -108,6 +111,45 @@
     run_scenario(tmp_path, scenario)
 
 
+# DRAIN: an append that had got no answer was executed after the acknowledged leave, and
+# nodes that started later read from the log that the server was ready.
+def test_late_append_undoes_no_leave_in_the_log(tmp_path: Path) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        desk, entry = await add_desk_and_entry(fleet)
+        await replace_unannounced(fleet, desk, f"{desk.backend.instance}_2")
+        late = desk.backend.heartbeat()
+        fleet.log.faults.late_appends, fleet.log.faults.late_ms = 1, 600
+        assert await desk.backend.send(fleet.session, desk.control_plane, late) == 200
+        await wait_until(lambda: fleet.log.appends_total >= 4)
+        assert await leave(fleet, desk, "deregister") == 200
+        await asyncio.sleep(0.7)
+        assert phase_in_log(fleet, desk) is Phase.GONE
+        await restart_all(fleet, desk, {})
+        assert await desk.backend.send(fleet.session, desk.control_plane, late) == 200
+        for number in range(8):
+            await asyncio.sleep(0.1)
+            await fleet.ask(entry, f"/book/{number}", "POST")
+            await send_job(fleet, desk)
+        assert desk.backend.arrivals == []
+
+    run_scenario(tmp_path, scenario)
+
+
+# A node whose clock had been set back would have appended nothing any more.
+def test_node_whose_clock_was_set_back_appends_after_some_refusals(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        desk, _ = await add_desk_and_entry(fleet)
+        later_ms = int(time.time() * 1000) + 3_600_000
+        producers = fleet.log.stream(SERVERS_STREAM).producers
+        producers[str(desk.parts.settings.backend)] = (later_ms, 0)
+        await leave(fleet, desk, "deregister")
+        await wait_until(lambda: phase_in_log(fleet, desk) is Phase.GONE, 15.0)
+
+    run_scenario(tmp_path, scenario)
+
+
 # The leave of an earlier start, arriving late, took out the server that runs now.
 @pytest.mark.parametrize("same_id", [True, False])
 def test_late_leave_of_an_earlier_start_takes_no_server_out(
--- a/testing/platform/test_log.py
+++ b/testing/platform/test_log.py
@@ -12,6 +12,7 @@
 from _masticspoke.model import Address
 from _masticspoke.platform.log import append
 from _masticspoke.platform.log import Appended
+from _masticspoke.platform.log import Fence
 from _masticspoke.platform.log import keyed_record
 from _masticspoke.platform.log import LogClient
 from _masticspoke.platform.log import LogFault
@@ -157,6 +158,22 @@
     run_scenario(scenario)
 
 
+# An append without an answer was done after a later one of the same writer.
+def test_append_is_never_done_after_a_later_one_of_its_writer() -> None:
+    async def scenario(log: LogService, client: LogClient) -> None:
+        log.faults.late_appends = 1
+        late = await append(client, "s", [b"a"], fence=Fence("w", 5))
+        assert late is LogFault.UNKNOWN
+        assert await append(client, "s", [b"b"], fence=Fence("w", 6)) == Appended(0)
+        await asyncio.sleep(0.2)
+        assert log.stream("s").records == [b"b"]
+        earlier = await append(client, "s", [b"c"], fence=Fence("w", 4))
+        assert earlier is LogFault.FENCED
+        assert await append(client, "s", [b"d"], fence=Fence("x", 4)) == Appended(1)
+
+    run_scenario(scenario)
+
+
 def test_request_to_a_silent_log_times_out() -> None:
     async def scenario(log: LogService, client: LogClient) -> None:
         log.faults.silent = True
--- a/testing/standins/log_service.py
+++ b/testing/standins/log_service.py
@@ -33,7 +33,7 @@
     :param lose_append_answers: number of appends to store without an answer; their
         connections are aborted.
     :param late_appends: number of appends whose connections are aborted at once, and
-        whose records are stored ``late_ms`` later.
+        whose records are stored ``late_ms`` later if their conditions hold then.
     :param appends_per_s: appends accepted in a second; further ones get 429.
     :param retained_records: newest records that each stream keeps.
     :param turned_away: IP addresses of the callers, or of the service's own that they
@@ -62,14 +62,14 @@
 
     :param oldest: offset of the oldest record that is kept.
     :param newest: newest (offset, value) of each key whose value is not empty.
-    :param epochs: newest epoch of each producer.
+    :param producers: newest epoch of each producer, and its last sequence.
     :param appended: set at the next append, and then replaced.
     """
 
     oldest: int = 0
     records: list[bytes] = field(default_factory=list)
     newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
-    epochs: dict[str, int] = field(default_factory=dict)
+    producers: dict[str, tuple[int, int]] = field(default_factory=dict)
     appended: asyncio.Event = field(default_factory=asyncio.Event)
 
     def append_bytes(self, record: bytes) -> None:
@@ -192,18 +192,18 @@
         log.append_times.append(now)
         log.appends_total += 1
         stream = log.stream(request.query["topic"])
-        refused = refusal(request, stream)
-        if refused is not None:
-            return refused
         records = split_records(await request.read())
         assert request.transport is not None
         if log.faults.late_appends > 0:
             log.faults.late_appends -= 1
-            task = asyncio.create_task(add_late(stream, records))
+            task = asyncio.create_task(add_late(request, stream, records))
             late_tasks.add(task)
             task.add_done_callback(late_tasks.discard)
             request.transport.abort()
             return web.Response()
+        refused = refusal(request, stream)
+        if refused is not None:
+            return refused
         offset = log.add(stream, records)
         if log.faults.lose_append_answers > 0:
             log.faults.lose_append_answers -= 1
@@ -211,19 +211,29 @@
         return web.json_response({"offset": offset, "range_end": stream.next})
 
     def refusal(request: web.Request, stream: Stream) -> web.Response | None:
-        producer, epoch = request.query.get("producer"), request.query.get("epoch")
-        if producer is not None and epoch is not None:
-            if int(epoch) < stream.epochs.get(producer, 0):
+        producer = request.query.get("producer")
+        if producer is not None:
+            epoch = int(request.query["epoch"])
+            sequence = int(request.query["sequence"])
+            newest, last = stream.producers.get(producer, (-1, -1))
+            if epoch < newest:
                 return web.json_response({"why": "fenced"}, status=409)
-            stream.epochs[producer] = int(epoch)
+            if epoch == newest and sequence != last + 1:
+                return web.json_response(
+                    {"why": "seq", "sequence": last + 1}, status=409
+                )
+            stream.producers[producer] = (epoch, sequence)
         expected_offset = request.query.get("at")
         if expected_offset is not None and int(expected_offset) != stream.next:
             return web.json_response({"range_end": stream.next}, status=412)
         return None
 
-    async def add_late(stream: Stream, records: list[bytes]) -> None:
+    async def add_late(
+        request: web.Request, stream: Stream, records: list[bytes]
+    ) -> None:
         await asyncio.sleep(log.faults.late_ms / 1000)
-        log.add(stream, records)
+        if refusal(request, stream) is None:
+            log.add(stream, records)
 
     async def read(request: web.Request) -> web.StreamResponse:
         count_call(request)
