--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -36,7 +36,6 @@
 from _masticspoke.fleet.knowledge.followers import CONNECT_TIMEOUT_S
 from _masticspoke.fleet.knowledge.followers import Following
 from _masticspoke.fleet.knowledge.followers import keyed_follower
-from _masticspoke.fleet.knowledge.followers import states_writer
 from _masticspoke.fleet.knowledge.log_values import ConfigurationReads
 from _masticspoke.fleet.knowledge.log_values import LogValuesPort
 from _masticspoke.fleet.knowledge.log_values import on_configuration
@@ -48,6 +47,7 @@
 from _masticspoke.fleet.knowledge.relaying import relay_follower
 from _masticspoke.fleet.knowledge.relaying import RelayPort
 from _masticspoke.fleet.knowledge.restore_watch import restore_watch
+from _masticspoke.fleet.knowledge.states_writer import states_writer
 from _masticspoke.fleet.knowledge.sync import sync_handler
 from _masticspoke.fleet.knowledge.sync import sync_task
 from _masticspoke.fleet.knowledge.sync import SyncPort
--- a/src/_masticspoke/fleet/parts.py
+++ b/src/_masticspoke/fleet/parts.py
@@ -30,11 +30,11 @@
 from _masticspoke.fleet.guard.run_recorder import RunRecorderState
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.followers import CONNECT_TIMEOUT_S
-from _masticspoke.fleet.knowledge.followers import WriterState
 from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.registry_state import RegistryState
 from _masticspoke.fleet.knowledge.relaying import RelayMessage
+from _masticspoke.fleet.knowledge.states_writer import WriterState
 from _masticspoke.fleet.quota.keeper import KeeperTask
 from _masticspoke.fleet.quota.messages import KeeperMessage
 from _masticspoke.fleet.quota.messages import QuotaMessage
