A late heartbeat opens no gate while the log is being read

What callers saw: after a restart of its node, a server without a health check got requests for a heartbeat that may have been sent before it left, if the configuration was known a moment before the states in the log. Cause: the probe took such a heartbeat for enough whether the log could not be read or had only not been read yet. Change: a heartbeat alone counts only while the log reports a fault. The probe asks again when that changes. A fresh node without log and health check still opens for a heartbeat (a test of its own).

--- a/src/_masticspoke/fleet/guard/probe.py
+++ b/src/_masticspoke/fleet/guard/probe.py
@@ -77,13 +77,16 @@
             configuration = port.configuration.value
             if candidate is None or configuration is None:
                 continue
-            if candidate.server == checked:
+            server = candidate.server
+            path = configuration.health_paths.get(server.service)
+            # Without a health check, only its heartbeats can show that it stays.
+            if server == checked or (path is None and not candidate.announced):
                 continue
-            checked = candidate.server
-            if checked.phase is Phase.READY and await _is_same_instance(
-                port, candidate, configuration
+            checked = server
+            if server.phase is Phase.READY and (
+                path is None or await _is_same_instance(port, server, path)
             ):
-                port.registry.tell(LocalBackendConfirmed(checked))
+                port.registry.tell(LocalBackendConfirmed(server))
         await life.stopping()
 
     return run
@@ -94,14 +97,7 @@
     return await ask(port.registry, AskLocalBackend(reply), reply)
 
 
-async def _is_same_instance(
-    port: ProbePort, candidate: LocalCandidate, configuration: Configuration
-) -> bool:
-    server = candidate.server
-    path = configuration.health_paths.get(server.service)
-    if path is None:
-        # Only its heartbeats can show that it stays.
-        return candidate.announced
+async def _is_same_instance(port: ProbePort, server: BackendServer, path: str) -> bool:
     headers = {"Host": str(server.address)}
     exchange = port.connections.request(
         server.address, "GET", path, headers, b"", _HEALTH_CHECK_TIMEOUT_S
--- a/src/_masticspoke/fleet/knowledge/messages.py
+++ b/src/_masticspoke/fleet/knowledge/messages.py
@@ -61,7 +61,7 @@
     """Registry's reply: a state of the local backend server that may be out of date.
 
     :param announced: whether the server has sent this node a heartbeat, which may have
-        been late.
+        been late, and the log can't be read now.
     """
 
     server: BackendServer
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -200,7 +200,9 @@
     if local_server is None or state.registry.gate_informed:
         message.reply.answer(None)
         return
-    announced = _has_announced_itself(state, local_server)
+    announced = _has_announced_itself(state, local_server) and (
+        state.port.servers_stream in state.registry.faults
+    )
     message.reply.answer(LocalCandidate(local_server, announced))
 
 
--- a/testing/fleet/knowledge/test_registry_heartbeats.py
+++ b/testing/fleet/knowledge/test_registry_heartbeats.py
@@ -10,7 +10,10 @@
 
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.fleet.guard.messages import LocalBackendState
+from _masticspoke.fleet.knowledge.messages import AskLocalBackend
 from _masticspoke.fleet.knowledge.messages import Heartbeat
+from _masticspoke.fleet.knowledge.messages import LocalCandidate
+from _masticspoke.fleet.knowledge.messages import LogHealth
 from _masticspoke.fleet.knowledge.messages import ServersReceived
 from _masticspoke.supervise.mailbox import Reply
 
@@ -83,3 +86,27 @@
         running.task.cancel()
 
     asyncio.run(scenario())
+
+
+# DRAIN: after a restart, a server without a health check got requests for a heartbeat
+# that may have been sent before it left, while the log was being read.
+def test_heartbeat_alone_counts_only_while_the_log_can_not_be_read() -> None:
+    async def scenario() -> None:
+        running = await started(log_read=False)
+        beat(running, server())
+        assert not (await candidate(running)).announced
+        running.inbox.tell(LogHealth("keyed.servers", "no answer"))
+        assert (await candidate(running)).announced
+        running.inbox.tell(LogHealth("keyed.servers", None))
+        assert not (await candidate(running)).announced
+        running.task.cancel()
+
+    asyncio.run(scenario())
+
+
+async def candidate(running: RunningRegistry) -> LocalCandidate:
+    reply: Reply[LocalCandidate | None] = Reply()
+    running.inbox.tell(AskLocalBackend(reply))
+    found = await reply.value()
+    assert found is not None
+    return found
--- a/testing/fleet/test_late_heartbeats.py
+++ b/testing/fleet/test_late_heartbeats.py
@@ -18,6 +18,8 @@
 from testing.fleet.test_acknowledged_leave import leave
 from testing.fleet.test_acknowledged_leave import phase_in_log
 from testing.fleet.test_acknowledged_leave import send_job
+from testing.fleet.test_path import BOOK
+from testing.fleet.test_path import READ
 from testing.standins.platform_backend import PlatformBackend
 
 from _masticspoke.decisions.fleet.model import Phase
@@ -181,3 +183,22 @@
         assert (await fleet.ask(entry, "/book/2", "POST"))[0] == 200
 
     run_scenario(tmp_path, scenario)
+
+
+# Such a node would refuse all requests until the log came back.
+def test_fresh_node_without_log_and_health_check_opens_for_a_heartbeat(
+    tmp_path: Path,
+) -> None:
+    async def scenario(fleet: PlatformFleet) -> None:
+        fleet.publish(READ, BOOK)
+        desk, _ = await fleet.add("desk"), await fleet.add("board")
+        await fleet.wait_until_synchronised()
+        fleet.log.faults.down = True
+        await fleet.restart(desk)
+        await desk.backend.announce(fleet.session, desk.control_plane)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            await send_job(fleet, desk)
+        assert desk.backend.arrivals
+
+    run_scenario(tmp_path, scenario)
