--- a/src/_masticspoke/decisions/fleet/client_timeouts.py
+++ b/src/_masticspoke/decisions/fleet/client_timeouts.py
@@ -74,12 +74,8 @@
     :param is_serving: whether a request that was received isn't answered yet.
     """
     awaited = _awaited(wait, is_serving)
-    return awaited if waited_s(wait, now) > _LIMIT_S[awaited](limits) else None
-
-
-def waited_s(wait: ClientWait, now: float) -> float:
-    """Return for how long the connection has waited for its client, seconds."""
-    return now - max(wait.idle_since, wait.head_since or wait.idle_since)
+    waited_s = now - max(wait.idle_since, wait.head_since or wait.idle_since)
+    return awaited if waited_s > _LIMIT_S[awaited](limits) else None
 
 
 def _awaited(wait: ClientWait, is_serving: bool) -> Awaited:
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from _masticspoke.decisions.fleet import leaving as leave_decisions
+from _masticspoke.decisions.fleet import leaving
 from _masticspoke.decisions.fleet import members
 from _masticspoke.decisions.fleet.log_era import may_rely_on_log
 from _masticspoke.decisions.fleet.model import BackendServer
@@ -158,13 +158,11 @@
     if local_server is None and not state.registry.states_heard:
         state.registry.early_deregistrations.append(message)
         return
-    leaving = leave_decisions.state_after(
-        message.leave, local_server, state.backend_address
-    )
-    for server in _merge_servers(state, (leaving,), "deregistration", now):
+    left = leaving.state_after(message.leave, local_server, state.backend_address)
+    for server in _merge_servers(state, (left,), "deregistration", now):
         state.port.unsaved.tell(Unsaved(server))
         _inform_gate(state, server)
-    if leave_decisions.is_binding(message.leave, _local_server(state)):
+    if leaving.is_binding(message.leave, _local_server(state)):
         _answer_when_saved(state, message.reply)
     else:
         message.reply.answer(False)
--- a/src/_masticspoke/http_server.py
+++ b/src/_masticspoke/http_server.py
@@ -12,8 +12,11 @@
 from typing import final
 
 from _masticspoke.decisions.fleet.body_memory import BodyMemory
+from _masticspoke.decisions.fleet.client_timeouts import Awaited
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.decisions.fleet.pipelining import AheadCounts
+from _masticspoke.events import Event
+from _masticspoke.events import log_event
 from _masticspoke.http_messages import Concurrent
 from _masticspoke.http_messages import Handler
 from _masticspoke.http_messages import NoBodyMemoryError
@@ -125,5 +128,11 @@
         :param now: current time of the event loop's clock.
         """
         limits = self.limits
-        for connection in tuple(self._connections):
-            connection.close_if_overdue(limits, now)
+        slow = [
+            connection
+            for connection in tuple(self._connections)
+            if connection.close_if_overdue(limits, now) is Awaited.REST_OF_HEAD
+        ]
+        if slow:
+            remote = slow[0].remote
+            log_event(Event.HEAD_TIMED_OUT, connections=len(slow), remote=remote)
--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -29,7 +29,6 @@
 from _masticspoke.decisions.fleet.client_timeouts import overdue
 from _masticspoke.decisions.fleet.client_timeouts import received_head
 from _masticspoke.decisions.fleet.client_timeouts import received_part_of_head
-from _masticspoke.decisions.fleet.client_timeouts import waited_s
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.events import Event
 from _masticspoke.events import log_event
@@ -207,19 +206,20 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    def close_if_overdue(self, limits: Limits, now: float) -> None:
-        """Close the connection if it exceeds the idle or the header timeout."""
+    def close_if_overdue(self, limits: Limits, now: float) -> Awaited | None:
+        """Close the connection if it exceeds the idle or the header timeout.
+
+        :return: what the client has not sent in time.
+        """
         if self.transport is None or self.transport.is_closing():
-            return
-        wait, is_serving = self._client_wait, not self._pipeline.is_idle
-        late = overdue(wait, limits, now, is_serving=is_serving)
-        if late is None:
-            return
+            return None
+        is_serving = not self._pipeline.is_idle
+        late = overdue(self._client_wait, limits, now, is_serving=is_serving)
         if late is Awaited.REST_OF_HEAD:
-            waited_ms = int(waited_s(wait, now) * 1000)
-            log_event(Event.HEAD_TIMED_OUT, remote=self.remote, waited_ms=waited_ms)
             self._write(Response(408), closes=True)
-        self.close()
+        if late is not None:
+            self.close()
+        return late
 
     def close(self) -> None:
         """Close the connection after its written data is sent; cancel its requests."""
--- a/testing/test_http_server_timeouts.py
+++ b/testing/test_http_server_timeouts.py
@@ -16,6 +16,8 @@
 from hypothesis import strategies as st
 
 from _masticspoke.decisions.fleet.model import Limits
+from _masticspoke.events import counted_events
+from _masticspoke.events import Event
 from _masticspoke.http_server import HttpServer
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
@@ -205,6 +207,25 @@
     run_scenario(scenario)
 
 
+def test_slow_heads_are_logged_once_for_all_connections_of_a_sweep() -> None:
+    """A flood of them must not flood the log."""
+
+    async def scenario(client: Client) -> None:
+        other = RecordingTransport()
+        connection = client.server()
+        connection.connection_made(other)
+        await client.send(GET[:9])
+        connection.data_received(GET[:9])
+        numbers: list[int] = []
+        with counted_events(numbers.append):
+            client.sweep()
+        assert other.closed
+        assert numbers == [Event.HEAD_TIMED_OUT.value.number]
+        connection.connection_lost(None)
+
+    run_scenario(scenario)
+
+
 # A head that began behind a request was closed by the idle timeout only.
 def test_slow_head_behind_an_answered_request_is_timed_out_from_the_answer_on() -> None:
     async def scenario(client: Client) -> None:
