--- a/testing/fleet/test_late_heartbeats.py
+++ b/testing/fleet/test_late_heartbeats.py
@@ -20,6 +20,7 @@
 from testing.fleet.test_acknowledged_leave import send_job
 from testing.fleet.test_path import BOOK
 from testing.fleet.test_path import READ
+from testing.standins.platform_backend import Arrival
 from testing.standins.platform_backend import PlatformBackend
 
 from _masticspoke.decisions.fleet.model import Phase
@@ -62,6 +63,18 @@
     await fleet.restart(node)
 
 
+async def arrivals_after(
+    fleet: PlatformFleet, desk: Node, entry: Node, late: dict[str, object]
+) -> list[Arrival]:
+    """Return the requests that run once a late heartbeat has arrived."""
+    assert await desk.backend.send(fleet.session, desk.control_plane, late) == 200
+    for number in range(8):
+        await asyncio.sleep(0.1)
+        await fleet.ask(entry, f"/book/{number}", "POST")
+        await send_job(fleet, desk)
+    return desk.backend.arrivals
+
+
 def known_phases(fleet: PlatformFleet, node: Node) -> set[Phase]:
     address = node.parts.settings.backend
     return {
@@ -102,12 +115,7 @@
         assert await leave(fleet, desk, how) == 200
         assert phase_in_log(fleet, desk) is not Phase.READY
         await aftermath(fleet, desk, earlier)
-        assert await desk.backend.send(fleet.session, desk.control_plane, late) == 200
-        for number in range(8):
-            await asyncio.sleep(0.1)
-            await fleet.ask(entry, f"/book/{number}", "POST")
-            await send_job(fleet, desk)
-        assert desk.backend.arrivals == []
+        assert await arrivals_after(fleet, desk, entry, late) == []
         assert Phase.READY not in known_phases(fleet, desk)
 
     run_scenario(tmp_path, scenario)
@@ -127,12 +135,7 @@
         await asyncio.sleep(0.7)
         assert phase_in_log(fleet, desk) is Phase.GONE
         await restart_all(fleet, desk, {})
-        assert await desk.backend.send(fleet.session, desk.control_plane, late) == 200
-        for number in range(8):
-            await asyncio.sleep(0.1)
-            await fleet.ask(entry, f"/book/{number}", "POST")
-            await send_job(fleet, desk)
-        assert desk.backend.arrivals == []
+        assert await arrivals_after(fleet, desk, entry, late) == []
 
     run_scenario(tmp_path, scenario)
 
