--- a/review/parts-3/small.py
+++ b/review/parts-3/small.py
@@ -255,7 +255,7 @@
             state = {
                 "service": self.service,
                 "address": f"{self.machine.ip}:{self.machine.ports['application']}",
-                "zone": "kochi-a",
+                "zone": self.machine.zone,
                 "version": "v1",
                 "slots": self.slots,
                 "state": "ready",
@@ -345,6 +345,7 @@
 class Machine:
     def __init__(self, number, ports, ip):
         self.number, self.ports, self.ip = number, ports, ip
+        self.zone = "kochi-a"
         self.process = None
 
 
@@ -374,7 +375,7 @@
         ip, ports = machine.ip, machine.ports
         fields = {
             "node_name": f"sidecar-kochi-a-{machine.number}",
-            "zone": "kochi-a",
+            "zone": machine.zone,
             "service": service,
             "listeners_by_port.outbound": f"{ip}:{ports['outbound']}",
             "listeners_by_port.inbound": f"{ip}:{ports['inbound']}",
