Own front end: streamed answers closed their connection without notice

Cause: the listener forced the close after the handler had returned, when the head of a streamed answer was already written. Change: the request object tells aiohttp, when an answer's head is written, whether the connection may serve another request. An answer whose head was written before a stop began leaves its connection open: the next answer on it announces the close, or the end of the stop closes it while it is idle. entry/malformed.py is now entry/requests.py, as it has that object.

--- a/src/_masticspoke/entry/listener.py
+++ b/src/_masticspoke/entry/listener.py
@@ -15,8 +15,8 @@
 from _masticspoke.draining import drain
 from _masticspoke.draining import open_socket
 from _masticspoke.draining import wait_sent
-from _masticspoke.entry.malformed import OnMalformed
-from _masticspoke.entry.malformed import request_factory
+from _masticspoke.entry.requests import OnMalformed
+from _masticspoke.entry.requests import request_factory
 from _masticspoke.in_flight import InFlight
 from _masticspoke.model import Address
 from _masticspoke.supervise.lifecycle import ChildBody
@@ -43,9 +43,10 @@
 ) -> ChildBody:
     """Return a body that serves HTTP at ``address``.
 
-    While ``stop`` is under way, each answer closes its connection, so that clients go
-    to another node. The task ends once all answers have been sent; requests and
-    connections that outlast the stop are aborted, counted and logged.
+    While ``stop`` is under way, each answer that begins closes its connection and says
+    so, so that clients go to another node. The task ends once all answers have been
+    sent; requests and connections that outlast the stop are aborted, counted and
+    logged.
 
     :param on_malformed: called for each request that is not HTTP.
     :param before_open: awaited before the socket is opened.
@@ -60,13 +61,16 @@
         open_connections = InFlight()
         server = _Server(
             open_connections,
-            _tracked(handler, in_flight, stop),
+            _tracked(handler, in_flight),
             access_log=None,
             handler_cancellation=True,
             auto_decompress=False,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
-            request_factory=request_factory(on_malformed),
+            request_factory=request_factory(
+                on_malformed,
+                lambda request: stop.under_way or _may_have_trailer(request),
+            ),
         )
         runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
         await runner.setup()
@@ -118,16 +122,13 @@
         super().connection_lost(handler, exc)
 
 
-def _tracked(handler: Handler, in_flight: InFlight, stop: PlannedStop) -> Handler:
+def _tracked(handler: Handler, in_flight: InFlight) -> Handler:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         in_flight.begin()
         try:
-            response = await handler(request)
+            return await handler(request)
         finally:
             in_flight.end()
-        if stop.under_way or _may_have_trailer(request):
-            response.force_close()
-        return response
 
     return handle
 
--- a/src/_masticspoke/metrics/measure.py
+++ b/src/_masticspoke/metrics/measure.py
@@ -11,7 +11,7 @@
 from _masticspoke.border.headers import REFUSED_HEADER
 from _masticspoke.border.paths import CONTROL_PREFIX
 from _masticspoke.entry.listener import Handler
-from _masticspoke.entry.malformed import OnMalformed
+from _masticspoke.entry.requests import OnMalformed
 from _masticspoke.exchange import MEASUREMENTS
 from _masticspoke.exchange import refusal_response
 from _masticspoke.metrics.measurements import Outcome
--- a/testing/entry/test_listener.py
+++ b/testing/entry/test_listener.py
@@ -30,9 +30,24 @@
     if "X-Trailer" in request.headers:
         return web.Response(text="/trailer-as-header")
     await request.read()
+    if request.path.startswith("/stream"):
+        return await _stream(request)
     return web.Response(text=request.path)
 
 
+async def _stream(request: web.BaseRequest) -> web.StreamResponse:
+    if request.path == "/stream-after-a-pause":
+        await asyncio.sleep(_SLOW_ANSWER_S)
+    response = web.StreamResponse()
+    response.content_length = len(request.path)
+    await response.prepare(request)
+    await response.write(request.path[:1].encode())
+    await asyncio.sleep(_SLOW_ANSWER_S)
+    await response.write(request.path[1:].encode())
+    await response.write_eof()
+    return response
+
+
 async def _request(streams: Streams, path: str) -> bytes:
     """Return the bytes up to the end of the answer's body or of the connection."""
     reader, writer = streams
@@ -112,6 +127,58 @@
     asyncio.run(_with_listener(scenario))
 
 
+# A request that the client sent on the connection meanwhile was lost.
+def test_streamed_answer_to_a_chunked_request_announces_that_it_closes() -> None:
+    async def scenario(address: Address, life: Lifecycle) -> None:
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(
+            b"POST /stream HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\n\r\n"
+        )
+        received = await reader.read()
+        writer.close()
+        assert received.endswith(b"/stream")
+        assert b"connection: close" in received.lower()
+        life.request_stop()
+
+    asyncio.run(_with_listener(scenario))
+
+
+# The same for a streamed answer that begins during a stop.
+def test_streamed_answer_announces_a_close_for_a_stop() -> None:
+    async def scenario(address: Address, life: Lifecycle) -> None:
+        busy = await asyncio.open_connection(address.host, address.port)
+        path = "/stream-after-a-pause"
+        answer = asyncio.create_task(_request(busy, path))
+        await asyncio.sleep(_SLOW_ANSWER_S / 3)
+        life.request_stop()
+        received = await answer
+        assert received.endswith(path.encode())
+        assert b"connection: close" in received.lower()
+
+    asyncio.run(_with_listener(scenario))
+
+
+# The connection closed without notice behind an answer that had begun before the stop.
+def test_connection_of_an_answer_that_a_stop_overtakes_serves_the_next_request() -> (
+    None
+):
+    async def scenario(address: Address, life: Lifecycle) -> None:
+        slow = await asyncio.open_connection(address.host, address.port)
+        other = asyncio.create_task(_request(slow, "/stream-after-a-pause"))
+        busy = await asyncio.open_connection(address.host, address.port)
+        answer = asyncio.create_task(_request(busy, "/stream"))
+        await asyncio.sleep(_SLOW_ANSWER_S / 3)
+        life.request_stop()
+        assert b"connection: close" not in (await answer).lower()
+        second = await _request(busy, "/second")
+        assert second.endswith(b"/second")
+        assert b"connection: close" in second.lower()
+        await other
+
+    asyncio.run(_with_listener(scenario))
+
+
 def test_new_connections_are_refused_during_a_stop() -> None:
     async def scenario(address: Address, life: Lifecycle) -> None:
         busy = await asyncio.open_connection(address.host, address.port)
