--- a/src/_masticspoke/connections.py
+++ b/src/_masticspoke/connections.py
@@ -60,8 +60,8 @@
     """A client connection that aborts on data that belongs to no request.
 
     It also aborts on a head without end, on heads without end before an answer, on a
-    status that no answer has, and on a head that is joined to the beginning of an
-    answer to an earlier request.
+    status that no answer has, on a head that is joined to the beginning of an answer to
+    an earlier request, and on two answers where one is due.
 
     :param is_last: returns whether the connection is closed after an answer.
     """
@@ -72,13 +72,14 @@
         self._awaits_head = False
         self._head_bytes = 0
         self._heads = 0
+        self._answers = 0
         self._requests = 0
         self._is_parsing = False
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the answer to the next request."""
         self._awaits_head = True
-        self._head_bytes = self._heads = 0
+        self._head_bytes = self._heads = self._answers = 0
         self._requests += 1
         super().set_response_params(**options)
 
@@ -153,6 +154,12 @@
         if joined and self._requests > 1:
             self._reject("joined heads on a used connection")
             return
+        self._answers += not is_interim(head.code)
+        if self._answers > 1 and self._requests > 1:
+            # The first one may be a copy of the answer to an earlier request.
+            self._buffer.clear()
+            self._reject("two answers to one request on a used connection")
+            return
         # The next answers of such a server can't be told from joined heads.
         if joined or self._is_last(head.code, head.headers):
             self.force_close()
--- a/testing/test_connections.py
+++ b/testing/test_connections.py
@@ -176,6 +176,13 @@
     assert answer in ((500, b"own"), (None, None))
 
 
+# The same, where the copy is read before the own answer arrives.
+def test_whole_copy_well_ahead_of_the_next_answer_is_not_taken_for_it() -> None:
+    answer = run_scenario(answer_behind_bytes([_COPY], [_COPY, _FAILURE]))
+
+    assert answer in ((500, b"own"), (None, None))
+
+
 # Each second request to a sound server failed.
 def test_server_with_a_status_line_in_a_header_is_reached_anew_each_time() -> None:
     answer = (
