--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -72,11 +72,14 @@
     """The request has not run and will not run.
 
     :param retry_s: time after which the caller may retry.
+    :param usual_run_s: usual run time by which it was refused; ``None`` if that did not
+        matter.
     """
 
     ticket: int
     reason: NotRun
     retry_s: float
+    usual_run_s: float | None = None
 
 
 Verdict = Start | Refuse
@@ -140,7 +143,7 @@
         return Refuse(ticket, queue.refusal_reason, MIN_RETRY_S)
     usual_run_s = queue.run_s.get(job.route, queue.overall_run_s)
     if now + usual_run_s * MIN_RUN_FRACTION > job.deadline:
-        return Refuse(ticket, NotRun.TOO_LATE, MIN_RETRY_S)
+        return Refuse(ticket, NotRun.TOO_LATE, MIN_RETRY_S, usual_run_s)
     if job.nested:
         nested_reserve.record_arrival(queue.reserve, usual_run_s, now)
     must_wait = waiting_lanes.must_wait_behind_others(queue.lanes, job)
@@ -149,7 +152,7 @@
     wait_s = _expected_wait_s(queue, job, now)
     slack_s = _time_left_s(job, now) - usual_run_s
     if wait_s > slack_s * _max_wait_fraction(job):
-        return Refuse(ticket, NotRun.BUSY, _retry_s(wait_s))
+        return Refuse(ticket, NotRun.BUSY, _retry_s(wait_s), usual_run_s)
     expires_at = now + slack_s * MAX_WAIT_FRACTION
     waiting_lanes.enqueue(queue.lanes, ticket, job, expires_at, usual_run_s)
     return None
--- a/src/_masticspoke/fleet/guard/guarding.py
+++ b/src/_masticspoke/fleet/guard/guarding.py
@@ -208,7 +208,7 @@
         verdict = await ask_or(port.gate, Admit(ticket, job, reply), reply, busy)
         if isinstance(verdict, Refuse):
             declined = Declined(verdict.reason, verdict.retry_s)
-            _log_declined(port, job, declined)
+            _log_declined(port, job, declined, verdict.usual_run_s)
             return declined
         admitted = True
         on_start()
@@ -378,7 +378,13 @@
     port.trail.tell(EventRecord(Event.RUN_INTERRUPTED, fields, Importance.FAILURE))
 
 
-def _log_declined(port: GuardPort, job: Job, declined: Declined) -> None:
+def _log_declined(
+    port: GuardPort, job: Job, declined: Declined, usual_run_s: float | None = None
+) -> None:
+    """Log that a request did not run.
+
+    :param usual_run_s: usual run time by which it was refused, if it was.
+    """
     load = port.load
     fields = {
         "id": job.request_id,
@@ -389,6 +395,7 @@
         "arrived": declined.arrived,
         "retry_s": round(declined.retry_s, 3),
         "left_s": round(job.deadline - port.clock(), 3),
+        "usual_run_s": None if usual_run_s is None else round(usual_run_s, 3),
         "running": load.running,
         "waiting": load.queued,
         "limit": load.limit,
