Own front end: a kind with an outdated hold time expired in every queue

A kind of work that had been slow once was refused with deadline-unmeetable whenever other calls waited, though it would have ended in time.

Cause: a kind without running calls is tried, whatever its hold time; but one that has to wait expired at its deadline less that time, which may be in the past, and only a run corrects the time. Change: while no call of the kind runs, its calls expire at their deadline. At a free slot one of them is tried, and the others are judged as before. Result: the new test of testing/decisions/test_admission.py failed before and passes now.

--- a/src/_masticspoke/decisions/occupancy.py
+++ b/src/_masticspoke/decisions/occupancy.py
@@ -103,7 +103,12 @@
 
 
 def latest_start(state: AdmissionState, call: Call) -> float:
-    """Return when a call must start at the latest to meet its deadline."""
+    """Return when a call must start at the latest to meet its deadline.
+
+    A kind without running calls is always tried, see :func:`cannot_meet_deadline`.
+    """
+    if not state.running_by_kind.get(call.kind):
+        return call.deadline
     return call.deadline - hold_s(state, call.kind)
 
 
--- a/testing/decisions/test_admission.py
+++ b/testing/decisions/test_admission.py
@@ -12,6 +12,7 @@
 from _masticspoke.decisions.effects import Effect
 from _masticspoke.decisions.effects import Refuse
 from _masticspoke.decisions.effects import Run
+from _masticspoke.decisions.estimators import Mean
 from _masticspoke.decisions.limit import LimitState
 from _masticspoke.decisions.occupancy import AdmissionState
 from _masticspoke.decisions.occupancy import admitted_rank
@@ -187,6 +188,18 @@
     assert runs(admission.arrive(state, 9, call(deadline=9.0), 8.0)) == [9]
 
 
+# It expired in the queue whenever others waited, so that no run corrected its time.
+def test_kind_whose_hold_time_is_outdated_is_tried_while_others_wait() -> None:
+    state = make_state(limit=1)
+    state.hold_times["k1"] = Mean(60.0, samples=20)
+    arrive(state, call(kind="k2"), call(kind="k2"))
+    effects = arrive(state, call(kind="k1", deadline=5.0), now=1.0)
+    while state.running:
+        effects += admission.finish(state, next(iter(state.running)), 0.1, 1.1)
+
+    assert Run(3) in effects
+
+
 def test_queued_call_is_refused_once_it_cannot_meet_its_deadline() -> None:
     state = make_state(1)
     arrive(state, call(), call(rank=2, deadline=5.0))
