--- a/src/_masticspoke/decisions/fleet/queueing.py
+++ b/src/_masticspoke/decisions/fleet/queueing.py
@@ -11,6 +11,9 @@
 overload then fails some runs early, and not nearly all of them at a late request.
 
 If the server names a limit on the rate of its requests, they also wait for the rate.
+
+A request that could run but for the usual run time of its route runs all the same from
+time to time, since the usual time may be wrong and only a run corrects it.
 """
 
 from __future__ import annotations
@@ -25,6 +28,7 @@
 
 from _masticspoke.decisions.fleet import nested_reserve
 from _masticspoke.decisions.fleet import pacing
+from _masticspoke.decisions.fleet import trials
 from _masticspoke.decisions.fleet import waiting_lanes
 from _masticspoke.decisions.fleet.lineage import parent_id
 from _masticspoke.decisions.fleet.model import Job
@@ -32,6 +36,7 @@
 from _masticspoke.decisions.fleet.nested_reserve import Reserve
 from _masticspoke.decisions.fleet.pacing import Pace
 from _masticspoke.decisions.fleet.pacing import PacePhase
+from _masticspoke.decisions.fleet.trials import Trials
 from _masticspoke.decisions.fleet.waiting_lanes import Lanes
 from _masticspoke.decisions.fleet.waiting_lanes import Waiting
 
@@ -48,6 +53,8 @@
 MAX_WAIT_FRACTION = 0.6
 # Weight of the newest run in the smoothed run times.
 NEWEST_RUN_WEIGHT = 0.05
+# Weight of a run that succeeded in a time which by the usual one was too short for it.
+REFUTING_RUN_WEIGHT = 0.5
 # Run time that is assumed until the first run has ended, seconds.
 INITIAL_RUN_S = 0.05
 # A request is refused if the time left until its deadline is less than this fraction of
@@ -103,6 +110,7 @@
     :param pace: pace of the requests to the server.
     :param learned_limit: requests that the server takes well at a time; ``None`` if
         only its slots are known.
+    :param trials: runs that may correct the run times.
     """
 
     slots: int = 1
@@ -116,6 +124,7 @@
     reserve: Reserve = field(default_factory=Reserve)
     pace: Pace = field(default_factory=lambda: Pace(PacePhase.FREE))
     learned_limit: int | None = None
+    trials: Trials = field(default_factory=Trials)
 
     @property
     def announced_limit(self) -> int:
@@ -142,24 +151,44 @@
     if queue.refusal_reason is not None:
         return Refuse(ticket, queue.refusal_reason, MIN_RETRY_S)
     usual_run_s = queue.run_s.get(job.route, queue.overall_run_s)
-    if now + usual_run_s * MIN_RUN_FRACTION > job.deadline:
+    is_late = now + usual_run_s * MIN_RUN_FRACTION > job.deadline
+    if is_late and not _is_trial_due(queue, job, now):
         return Refuse(ticket, NotRun.TOO_LATE, MIN_RETRY_S, usual_run_s)
     if job.nested:
         nested_reserve.record_arrival(queue.reserve, usual_run_s, now)
     must_wait = waiting_lanes.must_wait_behind_others(queue.lanes, job)
     if _has_free_slot(queue, job, now) and not must_wait:
-        return _start(queue, ticket, job, now)
+        return _start(queue, ticket, job, now, is_trial=is_late)
     wait_s = _expected_wait_s(queue, job, now)
-    slack_s = _time_left_s(job, now) - usual_run_s
+    time_left_s = _time_left_s(job, now)
+    slack_s = time_left_s - usual_run_s
+    is_trial = is_late or (slack_s <= 0.0 and _is_trial_due(queue, job, now))
+    if is_trial:
+        slack_s = time_left_s
     if wait_s > slack_s * _max_wait_fraction(job):
         return Refuse(ticket, NotRun.BUSY, _retry_s(wait_s), usual_run_s)
+    if is_trial:
+        trials.record_trial(queue.trials, job.route, job.deadline, now)
     expires_at = now + slack_s * MAX_WAIT_FRACTION
     waiting_lanes.enqueue(queue.lanes, ticket, job, expires_at, usual_run_s)
     return None
 
 
+def _is_trial_due(queue: Queue, job: Job, now: float) -> bool:
+    """Return whether a request may run against the usual run time of its route."""
+    if now >= job.deadline:
+        return False
+    estimated = job.route in queue.run_s
+    return trials.is_due(queue.trials, job.route, now, estimated=estimated)
+
+
 def finish(
-    queue: Queue, ticket: int, ran: bool, now: float, succeeded: bool = True
+    queue: Queue,
+    ticket: int,
+    ran: bool,
+    now: float,
+    succeeded: bool = True,
+    failed: bool = False,
 ) -> list[Verdict]:
     """Record the end of a run, and return the verdicts on waiting requests.
 
@@ -168,13 +197,17 @@
     :param ran: whether the backend server answered, so that the run time counts.
     :param succeeded: whether the run didn't fail with a nested request. Only then does
         its time count as usual for its route: a run that failed ended early, or late.
+    :param failed: whether the answer is a failure of the server's own. Such a run shows
+        nothing against a usual time by which it was too late.
     """
     ended = queue.running.pop(ticket, None)
     if ended is not None and not ended[0].nested:
         queue.running_top_level -= 1
+    if ended is not None:
+        trials.record_end(queue.trials, ended[0].route, now)
     if ended is not None and ran:
         job, started = ended
-        _record_run_time(queue, job, now - started, succeeded)
+        _record_run_time(queue, job, started, now, succeeded, failed)
     return advance(queue, now)
 
 
@@ -320,7 +353,12 @@
     return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
 
 
-def _start(queue: Queue, ticket: int, job: Job, now: float) -> Start:
+def _start(
+    queue: Queue, ticket: int, job: Job, now: float, *, is_trial: bool = False
+) -> Start:
+    if is_trial:
+        trials.record_trial(queue.trials, job.route, job.deadline, now)
+    trials.record_start(queue.trials, job.route, now)
     queue.running[ticket] = (job, now)
     pacing.record_start(queue.pace, now)
     if not job.nested:
@@ -328,10 +366,25 @@
     return Start(ticket)
 
 
-def _record_run_time(queue: Queue, job: Job, run_s: float, succeeded: bool) -> None:
+def _record_run_time(
+    queue: Queue, job: Job, started: float, now: float, succeeded: bool, failed: bool
+) -> None:
+    run_s = now - started
     if succeeded:
-        smoothed_s = queue.run_s.get(job.route, run_s)
-        queue.run_s[job.route] = smoothed_s + NEWEST_RUN_WEIGHT * (run_s - smoothed_s)
+        _record_usual_time(queue, job, started, run_s, failed)
     queue.overall_run_s += NEWEST_RUN_WEIGHT * (run_s - queue.overall_run_s)
     if not job.nested:
         queue.top_level_run_s += NEWEST_RUN_WEIGHT * (run_s - queue.top_level_run_s)
+
+
+def _record_usual_time(
+    queue: Queue, job: Job, started: float, run_s: float, failed: bool
+) -> None:
+    known_s = queue.run_s.get(job.route)
+    usual_run_s = queue.overall_run_s if known_s is None else known_s
+    was_late = started + usual_run_s * MIN_RUN_FRACTION > job.deadline
+    if was_late and failed:
+        return
+    smoothed_s = run_s if known_s is None else known_s
+    weight = REFUTING_RUN_WEIGHT if was_late else NEWEST_RUN_WEIGHT
+    queue.run_s[job.route] = smoothed_s + weight * (run_s - smoothed_s)
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -58,6 +58,7 @@
     FOREIGN_BYTES = EventSpec(
         4006, "WARNING", "bytes of a server that no request accounts for"
     )
+    RUN_TRIED = EventSpec(4007, "INFO", "request run though expected to be late")
     SERVER_CHANGED = EventSpec(4101, "INFO", "state of a backend server changed")
     SERVER_EJECTED = EventSpec(4102, "WARNING", "backend server temporarily not used")
     ADMISSION_STARTED = EventSpec(4103, "INFO", "local backend server accepts requests")
--- a/src/_masticspoke/fleet/guard/gate.py
+++ b/src/_masticspoke/fleet/guard/gate.py
@@ -132,7 +132,7 @@
         refusal = Refuse(message.ticket, NotRun.PRESSURE, _PRESSURE_RETRY_S)
         message.reply.answer(refusal)
         return
-    verdict = queueing.admit(state.queue, message.ticket, job, now)
+    verdict = _admit_to_queue(state, message, now)
     if learns and not isinstance(verdict, Refuse):
         run_outcomes.record_admitted(state.outcomes, message.ticket, job, now)
     if verdict is None:
@@ -143,6 +143,22 @@
     message.reply.answer(verdict)
 
 
+def _admit_to_queue(state: GateState, message: Admit, now: float) -> Verdict | None:
+    queue, job = state.queue, message.job
+    trials = queue.trials.count
+    verdict = queueing.admit(queue, message.ticket, job, now)
+    if queue.trials.count != trials:
+        fields = {
+            "id": job.request_id,
+            "route": job.route,
+            "left_s": round(job.deadline - now, 3),
+            "usual_run_s": round(queue.run_s.get(job.route, queue.overall_run_s), 3),
+            "known": job.route in queue.run_s,
+        }
+        state.trail.tell(EventRecord(Event.RUN_TRIED, fields))
+    return verdict
+
+
 def _own_service(state: GateState) -> str | None:
     return None if state.server is None else state.server.service
 
@@ -168,7 +184,8 @@
     )
     limit_learning.update_limit(learning, queue, now)
     succeeded = end.outcome is not RunOutcome.WASTED
-    verdicts = queueing.finish(queue, end.ticket, end.answered, now, succeeded)
+    failed = end.outcome is not RunOutcome.SUCCEEDED
+    verdicts = queueing.finish(queue, end.ticket, end.answered, now, succeeded, failed)
     _send_verdicts(state, verdicts, now)
     _publish(state, now)
 
@@ -197,6 +214,7 @@
         )
     if previous is not None and previous.instance != message.server.instance:
         state.queue.run_s.clear()
+        state.queue.trials.refused_since.clear()
     state.queue.refusal_reason = None
 
 
--- a/testing/decisions/fleet/test_queueing.py
+++ b/testing/decisions/fleet/test_queueing.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testing.decisions.fleet.samples import job
@@ -19,6 +20,8 @@
 from _masticspoke.decisions.fleet.queueing import Start
 from _masticspoke.decisions.fleet.queueing import top_level_limit
 from _masticspoke.decisions.fleet.queueing import Verdict
+from _masticspoke.decisions.fleet.trials import MIN_SPACING_S
+from _masticspoke.decisions.fleet.trials import TRIAL_INTERVAL_S
 
 
 def accepting_queue(slots: int = 10, run_s: float = 0.1) -> Queue:
@@ -305,3 +308,92 @@
     assert 0.4 < alike[0] / sum(alike.values()) < 0.6
     assert apart[0] / sum(apart.values()) > 0.85
     assert apart[2] > 0
+
+
+# CONFIG: a quick route beside slow requests was refused as too late for ever.
+def test_new_route_beside_slow_requests_is_served() -> None:
+    queue = accepting_queue(run_s=0.9)
+
+    assert served(queue, run_s=0.05, timeout_s=0.5, requests=100) >= 95
+
+
+# The same after its timeout was shortened, or the server got faster.
+@pytest.mark.parametrize("estimate_s", [1.0, 3.0, 30.0])
+@pytest.mark.parametrize("nested", [False, True])
+def test_outdated_run_time_does_not_refuse_a_route_for_ever(
+    estimate_s: float, nested: bool
+) -> None:
+    queue = accepting_queue()
+    queue.run_s["read"] = estimate_s
+    count = served(queue, run_s=0.05, timeout_s=0.5, requests=300, nested=nested)
+
+    assert count >= 200
+
+
+# Its slots were all in use whenever it came, and it had to wait behind others.
+def test_outdated_run_time_does_not_refuse_a_route_while_others_wait() -> None:
+    queue = full_queue(run_s=0.05)
+    queue.run_s["other"] = 0.05
+    queue.run_s["read"] = 0.8
+    admit(queue, 1, job(1, route="other"), 0.0)
+    verdicts = [
+        admit(queue, 2 + n, job(2 + n, objective_at=0.7 + n, deadline=3.0 + n), n * 1.0)
+        for n in range(3)
+    ]
+
+    assert isinstance(verdicts[0], Refuse)
+    assert None in verdicts
+
+
+def test_route_that_is_really_too_slow_is_still_refused_early() -> None:
+    queue = accepting_queue()
+    queue.run_s["read"] = 2.0
+    count = served(queue, run_s=0.5, timeout_s=0.5, requests=300, fails=True)
+
+    assert 0 < count <= 30 / TRIAL_INTERVAL_S
+    assert queue.run_s["read"] == 2.0
+
+
+def test_trials_of_many_routes_are_few() -> None:
+    queue = accepting_queue(slots=200, run_s=0.9)
+    tickets = range(2_000)
+    verdicts = [
+        admit(queue, n, job(n, route=f"r{n}", deadline=n / 1000 + 0.5), n / 1000)
+        for n in tickets
+    ]
+
+    assert sum(isinstance(v, Start) for v in verdicts) <= 2.0 / MIN_SPACING_S + 1
+
+
+# A route without requests for a while has an estimate like any other.
+def test_late_request_after_a_quiet_time_is_no_trial() -> None:
+    queue = accepting_queue()
+    admit(queue, 1, job(1), 0.0)
+    finish(queue, 1, True, 1.0)
+    verdict = admit(queue, 2, job(2, objective_at=60.0, deadline=60.3), 60.0)
+
+    assert isinstance(verdict, Refuse)
+
+
+def served(
+    queue: Queue,
+    run_s: float,
+    timeout_s: float,
+    requests: int,
+    nested: bool = False,
+    fails: bool = False,
+) -> int:
+    """Return how many of the requests of a route run, 10 of them a second."""
+    ends: list[tuple[float, int]] = []
+    count = 0
+    for number in range(requests):
+        now = number / 10
+        while ends and ends[0][0] <= now:
+            ended_at, ticket = ends.pop(0)
+            finish(queue, ticket, True, ended_at, failed=fails)
+        deadline = now + timeout_s
+        request = job(number, nested=nested, objective_at=deadline, deadline=deadline)
+        if isinstance(admit(queue, number, request, now), Start):
+            count += 1
+            ends.append((now + run_s, number))
+    return count
