--- a/src/_masticspoke/decisions/fleet/members.py
+++ b/src/_masticspoke/decisions/fleet/members.py
@@ -81,6 +81,12 @@
     return changed
 
 
+def remove(members: Members, address: Address) -> None:
+    """Forget the state at an address."""
+    members.by_address.pop(address, None)
+    members.checksums.pop(address, None)
+
+
 def digest(members: Members) -> int:
     """Return a checksum by which two nodes find out whether their states differ.
 
--- a/src/_masticspoke/decisions/fleet/model.py
+++ b/src/_masticspoke/decisions/fleet/model.py
@@ -113,6 +113,7 @@
     :param health_paths: path of the health check by service.
     :param organisations: organisation by key; ``None`` if requests need no keys.
     :param organisation_by_name: the same organisations by name.
+    :param services: names of all services.
     """
 
     version: int
@@ -123,12 +124,16 @@
     organisation_by_name: Mapping[str, Organisation] = field(
         init=False, repr=False, compare=False
     )
+    services: frozenset[str] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
-        """Index the organisations once, as nested requests name them."""
+        """Index the organisations, as nested requests name them, and the services."""
         organisations = (self.organisations or {}).values()
         by_name = {organisation.name: organisation for organisation in organisations}
         object.__setattr__(self, "organisation_by_name", by_name)
+        shares = (share for r in self.routes.values() for share in r.shares)
+        services = {share.service for share in shares}.union(self.health_paths)
+        object.__setattr__(self, "services", frozenset(services))
 
 
 def limits_of(configuration: Configuration | None) -> Limits:
--- a/src/_masticspoke/events.py
+++ b/src/_masticspoke/events.py
@@ -91,6 +91,10 @@
         4207, "WARNING", "keys refused, configuration not confirmed in time"
     )
     KEYS_ACCEPTED = EventSpec(4208, "INFO", "keys accepted again")
+    STATE_REFUSED = EventSpec(4210, "WARNING", "state of a backend server refused")
+    STATE_RESTATED = EventSpec(
+        4211, "WARNING", "state of the local backend server restated"
+    )
     KEEPER_SILENT = EventSpec(4301, "WARNING", "keeper of quotas does not respond")
     KEEPER_RESPONDS = EventSpec(4302, "INFO", "keeper of quotas responds again")
     QUOTA_REACHED = EventSpec(4303, "INFO", "organisation has reached its limit")
--- a/src/_masticspoke/fleet/branches.py
+++ b/src/_masticspoke/fleet/branches.py
@@ -114,6 +114,7 @@
         parts.log_answers,
         parts.confirmation,
         settings.revocation_s,
+        parts.service,
     )
     registry_body = registry(
         parts.registry,
--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -10,6 +10,7 @@
 from _masticspoke.events import Event
 from _masticspoke.fleet.dispatch.messages import ServersChanged
 from _masticspoke.fleet.guard.messages import LocalBackendState
+from _masticspoke.fleet.knowledge import registry_conflicts
 from _masticspoke.fleet.knowledge.crash_messages import BackendCrashed
 from _masticspoke.fleet.knowledge.crash_messages import CrashReportsReceived
 from _masticspoke.fleet.knowledge.crash_messages import RunAbandoned
@@ -110,11 +111,26 @@
 
 
 def _heartbeat(state: RegistryTask, message: Heartbeat, now: float) -> None:
-    changed = _merge_servers(state, (message.server,), "heartbeat", now)
-    local_server = _local_server(state)
-    if local_server is not None and members.is_current(message.server, local_server):
-        state.registry.heartbeat = message.server
-        has_just_started = message.server.sequence <= _MAX_FIRST_SEQUENCE
+    heartbeat = registry_conflicts.with_restated_start(state, message.server)
+    if not registry_conflicts.may_merge(state, heartbeat):
+        reason = registry_conflicts.UNNAMED_SERVICE
+        registry_conflicts.refuse(state, heartbeat, "heartbeat", reason)
+        message.reply.answer(heartbeat.phase is Phase.READY)
+        return
+    changed = _merge_servers(state, (heartbeat,), "heartbeat", now)
+    local_server = state.registry.members.by_address[state.backend_address]
+    if not members.is_current(heartbeat, local_server):
+        restated = registry_conflicts.after_ignored_heartbeat(
+            state, message.server, local_server, now
+        )
+        if restated is not None:
+            heartbeat = local_server = restated
+            changed += _merge_servers(state, (restated,), "heartbeat", now)
+    if members.is_current(heartbeat, local_server):
+        own = registry_conflicts.incarnation_of(message.server)
+        registry_conflicts.heard(state, own, now)
+        state.registry.heartbeat = heartbeat
+        has_just_started = heartbeat.sequence <= _MAX_FIRST_SEQUENCE
         _inform_gate(state, local_server, has_just_started)
     for server in changed:
         state.port.unsaved.tell(Unsaved(server))
@@ -158,11 +174,12 @@
     if local_server is None and not state.registry.states_heard:
         state.registry.early_deregistrations.append(message)
         return
-    left = leaving.state_after(message.leave, local_server, state.backend_address)
+    leave = registry_conflicts.leave_with_restated_start(state, message.leave)
+    left = leaving.state_after(leave, local_server, state.backend_address)
     for server in _merge_servers(state, (left,), "deregistration", now):
         state.port.unsaved.tell(Unsaved(server))
         _inform_gate(state, server)
-    if leaving.is_binding(message.leave, _local_server(state)):
+    if leaving.is_binding(leave, _local_server(state)):
         _answer_when_saved(state, message.reply)
     else:
         message.reply.answer(False)
@@ -215,8 +232,15 @@
 def _servers_received(
     state: RegistryTask, message: ServersReceived, now: float
 ) -> None:
-    accepted = tuple(s for s in message.servers if _is_accepted(state, s))
-    for server in _merge_servers(state, accepted, message.source, now):
+    accepted: list[BackendServer] = []
+    for server in message.servers:
+        if server.address == state.backend_address:
+            accepted += _local_states(state, server, message.source, now)
+        elif registry_conflicts.may_merge(state, server):
+            accepted.append(server)
+        else:
+            registry_conflicts.hold_back(state, server, message.source)
+    for server in _merge_servers(state, tuple(accepted), message.source, now):
         if server.address == state.backend_address and server.phase is not Phase.READY:
             _inform_gate(state, server)
     if message.source == LOG_SOURCE:
@@ -225,15 +249,28 @@
             _set_states_heard(state, now)
 
 
+def _local_states(
+    state: RegistryTask, stated: BackendServer, source: str, now: float
+) -> tuple[BackendServer, ...]:
+    """Return the states to be merged if another writer states the local server's."""
+    if _is_accepted(state, stated) and registry_conflicts.may_merge(state, stated):
+        return (stated,)
+    restated = registry_conflicts.contradict(state, stated, source, now)
+    if restated is None:
+        return ()
+    state.registry.heartbeat = restated
+    state.port.unsaved.tell(Unsaved(restated))
+    _inform_gate(state, restated)
+    return (restated,)
+
+
 def _is_accepted(state: RegistryTask, server: BackendServer) -> bool:
-    """Return whether a state from the log or a peer may be merged.
+    """Return whether a state of the local backend server may be merged.
 
     The local backend server's heartbeats are newer than its state from other sources,
     but a node that restarted may learn only from others that it is leaving, or that the
     heartbeat was one of an earlier instance.
     """
-    if server.address != state.backend_address:
-        return True
     if state.registry.heartbeat is None or not state.registry.states_heard:
         return True
     local_server = state.registry.members.by_address[state.backend_address]
@@ -246,6 +283,8 @@
 def _merge_servers(
     state: RegistryTask, servers: tuple[BackendServer, ...], source: str, now: float
 ) -> tuple[BackendServer, ...]:
+    for server in servers:
+        registry_conflicts.forget_unnamed(state, server)
     changed = tuple(members.merge(state.registry.members, servers))
     for server in changed:
         state.registry.changed_at[server.address] = now
@@ -293,6 +332,7 @@
         state.registry.configured_at = now
     state.registry.raw = message.raw
     state.port.configuration.tell(message.configuration)
+    _use_named_states(state, now)
     use_early_confirmation(state, now)
     answer_held(state, now)
     state.port.trail.tell(
@@ -309,6 +349,14 @@
     )
 
 
+def _use_named_states(state: RegistryTask, now: float) -> None:
+    """Merge the states that were held back, if the configuration names them now."""
+    named = registry_conflicts.take_named(state)
+    for server in _merge_servers(state, named, "configuration", now):
+        if server.address == state.backend_address and server.phase is not Phase.READY:
+            _inform_gate(state, server)
+
+
 def _peers_asked(state: RegistryTask, message: PeersAsked, now: float) -> None:
     """Use what was held back until peers had been asked once."""
     stream = state.port.configuration_stream
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from random import getrandbits
 from typing import final
 
@@ -12,6 +13,7 @@
 from _masticspoke.decisions.fleet.members import Members
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
+from _masticspoke.decisions.fleet.rivals import Rival
 from _masticspoke.decisions.fleet.suspects import Suspects
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.dispatch.placer import PlacerMessage
@@ -33,6 +35,8 @@
 
 # Bits of the identity of a process.
 _IDENTITY_BITS = 48
+# Instance of a backend server, and the Unix time of its start in milliseconds.
+Incarnation = tuple[str, int]
 
 
 @final
@@ -68,6 +72,15 @@
     :param configured_at: time at which the first configuration was received.
     :param stale_since: time at which it was logged that keys are refused; ``None``
         while they are accepted.
+    :param held_states: states of servers whose services no configuration names.
+    :param own_incarnation: incarnation of the local backend server as it names itself;
+        ``None`` before its first heartbeat that is in force.
+    :param own_heartbeats: number of its heartbeats that were in force.
+    :param heard_at: time of the latest of them.
+    :param rival: another incarnation that sends heartbeats there.
+    :param restated: start that this node states for an incarnation, in place of the one
+        that the server names, to replace a false state.
+    :param repaired_at: time at which a false entry in the log was replaced.
     """
 
     members: Members = field(default_factory=Members)
@@ -92,6 +105,13 @@
     abandoned: deque[RunAbandoned] = field(default_factory=deque)
     configured_at: float = 0.0
     stale_since: float | None = None
+    held_states: dict[Address, BackendServer] = field(default_factory=dict)
+    own_incarnation: Incarnation | None = None
+    own_heartbeats: int = 0
+    heard_at: float = -inf
+    rival: Rival | None = None
+    restated: dict[Incarnation, int] = field(default_factory=dict)
+    repaired_at: float = -inf
 
 
 @final
@@ -109,6 +129,7 @@
     :param log_answers: on while no access to the log has an error.
     :param confirmation: when the configuration in force was known to be the newest.
     :param revocation_s: bound on the revocation of a key; ``None`` if there is none.
+    :param local_service: service of the local backend server, as the settings name it.
     """
 
     configuration: Latest[Configuration | None]
@@ -127,6 +148,7 @@
         default_factory=lambda: Latest(Confirmation())
     )
     revocation_s: float | None = None
+    local_service: Latest[str] = field(default_factory=lambda: Latest(""))
 
 
 @final
--- a/src/_masticspoke/fleet/reporting/counts.py
+++ b/src/_masticspoke/fleet/reporting/counts.py
@@ -99,12 +99,19 @@
     _increment(counts, Metric.FLEET_FOREIGN_BYTES, *labels)
 
 
+def _count_refused_state(counts: Counts, record: EventRecord, now: float) -> None:
+    source = str(record.fields["source"]).partition(" ")[0]
+    reason = str(record.fields["reason"])
+    _increment(counts, Metric.FLEET_STATES_REFUSED, source, reason)
+
+
 _COUNTER_BY_EVENT: dict[Event, Callable[[Counts, EventRecord, float], None]] = {
     Event.REQUEST_ENDED: _count_request,
     Event.REQUEST_FAILED: _count_request,
     Event.RUN_NOT_STARTED: _count_declined,
     Event.RUN_WASTED: _count_wasted,
     Event.FOREIGN_BYTES: _count_foreign_bytes,
+    Event.STATE_REFUSED: _count_refused_state,
 }
 
 
--- a/src/_masticspoke/metrics/families.py
+++ b/src/_masticspoke/metrics/families.py
@@ -140,6 +140,12 @@
         "Times that a server sent bytes which no request accounts for.",
         ("pool", "place", "origin"),
     )
+    FLEET_STATES_REFUSED = MetricSpec(
+        "masticspoke_fleet_states_refused_total",
+        MetricType.COUNTER,
+        "States of backend servers that were not merged.",
+        ("source", "reason"),
+    )
     FLEET_ROUTE_LIMIT = MetricSpec(
         "masticspoke_fleet_route_limit",
         MetricType.GAUGE,
--- a/testing/fleet/knowledge/test_registry.py
+++ b/testing/fleet/knowledge/test_registry.py
@@ -13,6 +13,7 @@
 from _masticspoke.fleet.knowledge.era_watch import EraWatch
 from _masticspoke.fleet.knowledge.messages import ConfigurationReceived
 from _masticspoke.fleet.knowledge.messages import LogHealth
+from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.registry import registry
 from _masticspoke.fleet.knowledge.registry import RegistryMessage
 from _masticspoke.fleet.knowledge.registry_state import RegistryPort
@@ -38,6 +39,9 @@
         self.inbox: Mailbox[RegistryMessage] = Mailbox(100)
         self.trail: Mailbox[TrailMessage] = Mailbox(100)
         self.gate: Mailbox[GateMessage] = Mailbox(100)
+        self.unsaved: Mailbox[Unsaved] = Mailbox(100)
+        self.local_service = Latest("desk")
+        self.state = RegistryState()
         self.eras = EraWatch(lambda: self.now)
         port = RegistryPort(
             Latest(None),
@@ -45,7 +49,7 @@
             Mailbox(100),
             Mailbox(100),
             Mailbox(100),
-            Mailbox(100),
+            self.unsaved,
             Latest(SuspectView()),
             self.trail,
             "keyed.op",
@@ -54,9 +58,10 @@
             Switch(),
             self.confirmation,
             revocation_s,
+            self.local_service,
         )
         body = registry(
-            self.inbox, RegistryState(), port, server(1).address, lambda: self.now
+            self.inbox, self.state, port, server(1).address, lambda: self.now
         )
         self.life = Lifecycle()
         self.task = asyncio.create_task(body(self.life))  # type: ignore[arg-type]
--- a/testing/fleet/knowledge/test_registry_heartbeats.py
+++ b/testing/fleet/knowledge/test_registry_heartbeats.py
@@ -23,8 +23,10 @@
     return [m for m in messages if isinstance(m, LocalBackendState)]
 
 
-def beat(running: RunningRegistry, state: BackendServer) -> None:
-    running.inbox.tell(Heartbeat(state, Reply()))
+def beat(
+    running: RunningRegistry, state: BackendServer, reply: Reply[bool] | None = None
+) -> None:
+    running.inbox.tell(Heartbeat(state, reply or Reply()))
 
 
 async def started(log_read: bool = True) -> RunningRegistry:
