Repeated false heartbeats took a server out each time

Cause: a later start is in force at once, as that of a server that crashed is. Change: once a state of the local backend server had to be restated, and while the server sends heartbeats, a heartbeat of another instance counts with its second one, and a deregistration of an unknown instance is not taken. Result: two new cases of test_registry_conflicts.py; the one with repeated false heartbeats failed before.

--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -112,8 +112,8 @@
 
 def _heartbeat(state: RegistryTask, message: Heartbeat, now: float) -> None:
     heartbeat = registry_conflicts.with_restated_start(state, message.server)
-    if not registry_conflicts.may_merge(state, heartbeat):
-        reason = registry_conflicts.UNNAMED_SERVICE
+    reason = registry_conflicts.refusal_reason(state, heartbeat, now)
+    if reason is not None:
         registry_conflicts.refuse(state, heartbeat, "heartbeat", reason)
         message.reply.answer(heartbeat.phase is Phase.READY)
         return
@@ -174,6 +174,9 @@
     if local_server is None and not state.registry.states_heard:
         state.registry.early_deregistrations.append(message)
         return
+    if registry_conflicts.is_false_leave(state, message.leave, now):
+        message.reply.answer(False)
+        return
     leave = registry_conflicts.leave_with_restated_start(state, message.leave)
     left = leaving.state_after(leave, local_server, state.backend_address)
     for server in _merge_servers(state, (left,), "deregistration", now):
--- a/src/_masticspoke/fleet/knowledge/registry_conflicts.py
+++ b/src/_masticspoke/fleet/knowledge/registry_conflicts.py
@@ -15,10 +15,11 @@
 from _masticspoke.decisions.fleet.leaving import Leave
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.suspects import Incarnation
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.messages import Unsaved
 from _masticspoke.fleet.knowledge.registry_restore import LOG_SOURCE
-from _masticspoke.fleet.knowledge.registry_state import Incarnation
+from _masticspoke.fleet.knowledge.registry_state import RegistryState
 from _masticspoke.fleet.knowledge.registry_state import RegistryTask
 from _masticspoke.fleet.reporting.event_record import EventRecord
 
@@ -37,8 +38,8 @@
 
 
 def incarnation_of(server: BackendServer) -> Incarnation:
-    """Return the instance and its start."""
-    return server.instance, server.born_ms
+    """Return the incarnation that a state is of."""
+    return Incarnation(server.address, server.instance, server.born_ms)
 
 
 def may_merge(state: RegistryTask, server: BackendServer) -> bool:
@@ -136,8 +137,8 @@
     """Return a leave of the local backend server with the start that nodes know."""
     if leave.born_ms is None:
         return leave
-    restated = state.registry.restated
-    born_ms = restated.get((leave.instance, leave.born_ms), leave.born_ms)
+    incarnation = Incarnation(state.backend_address, leave.instance, leave.born_ms)
+    born_ms = state.registry.restated.get(incarnation, leave.born_ms)
     return replace(leave, born_ms=born_ms)
 
 
@@ -147,16 +148,68 @@
     :param own: incarnation as the server itself names it.
     """
     registry_state = state.registry
-    registry_state.rival = None
+    rival, registry_state.rival = registry_state.rival, None
     if registry_state.own_incarnation != own:
         registry_state.own_incarnation = own
-        registry_state.own_heartbeats = 0
+        registry_state.own_heartbeats = rivals.heartbeats_of(rival, own)
         restated = registry_state.restated
         registry_state.restated = {k: v for k, v in restated.items() if k == own}
     registry_state.own_heartbeats += 1
     registry_state.heard_at = now
 
 
+def refusal_reason(
+    state: RegistryTask, heartbeat: BackendServer, now: float
+) -> str | None:
+    """Return why a heartbeat is not merged; ``None`` if it is, unless it is older."""
+    if not may_merge(state, heartbeat):
+        return UNNAMED_SERVICE
+    return OTHER_INSTANCE if _must_be_confirmed(state, heartbeat, now) else None
+
+
+def _must_be_confirmed(
+    state: RegistryTask, heartbeat: BackendServer, now: float
+) -> bool:
+    """Return whether a heartbeat of another instance counts only with the next one.
+
+    That is so once a false one has been found, while the server itself is present.
+    """
+    registry_state = state.registry
+    known = registry_state.members.by_address.get(state.backend_address)
+    if known is None or incarnation_of(known) == incarnation_of(heartbeat):
+        return False
+    if not _has_been_restated(registry_state) or not _is_present(registry_state, now):
+        return False
+    if not members.is_newer(heartbeat, known):
+        return False
+    registry_state.rival = rivals.after_heartbeat(registry_state.rival, heartbeat, now)
+    return not rivals.is_confirmed(registry_state.rival)
+
+
+def is_false_leave(state: RegistryTask, leave: Leave, now: float) -> bool:
+    """Return whether a leave of an unknown instance is taken for a false one."""
+    registry_state = state.registry
+    own = registry_state.own_incarnation
+    return (
+        own is not None
+        and leave.instance != own.instance
+        and _has_been_restated(registry_state)
+        and _is_present(registry_state, now)
+    )
+
+
+def _has_been_restated(registry_state: RegistryState) -> bool:
+    return registry_state.own_incarnation in registry_state.restated
+
+
+def _is_present(registry_state: RegistryState, now: float) -> bool:
+    """Return whether the local backend server sends heartbeats at present."""
+    return (
+        registry_state.own_heartbeats >= MIN_HEARTBEATS
+        and now - registry_state.heard_at <= MAX_SILENCE_S
+    )
+
+
 def after_ignored_heartbeat(
     state: RegistryTask, heartbeat: BackendServer, known: BackendServer, now: float
 ) -> BackendServer | None:
@@ -193,11 +246,7 @@
     if known is None or own is None or incarnation_of(stated) == incarnation_of(known):
         return None
     refuse(state, stated, source, OTHER_INSTANCE)
-    is_present = (
-        registry_state.own_heartbeats >= MIN_HEARTBEATS
-        and now - registry_state.heard_at <= MAX_SILENCE_S
-    )
-    if not is_present:
+    if not _is_present(registry_state, now):
         return None
     if members.is_newer(stated, known):
         return _restate(state, known, own, stated, source)
@@ -221,7 +270,7 @@
     fields = {
         "server": str(server.address),
         "instance": server.instance,
-        "born_ms": own[1],
+        "born_ms": own.born_ms,
         "restated_ms": born_ms,
         "stated_instance": stated.instance,
         "stated_ms": stated.born_ms,
--- a/src/_masticspoke/fleet/knowledge/registry_state.py
+++ b/src/_masticspoke/fleet/knowledge/registry_state.py
@@ -14,6 +14,7 @@
 from _masticspoke.decisions.fleet.model import BackendServer
 from _masticspoke.decisions.fleet.model import Configuration
 from _masticspoke.decisions.fleet.rivals import Rival
+from _masticspoke.decisions.fleet.suspects import Incarnation
 from _masticspoke.decisions.fleet.suspects import Suspects
 from _masticspoke.decisions.fleet.suspects import SuspectView
 from _masticspoke.fleet.dispatch.placer import PlacerMessage
@@ -35,8 +36,6 @@
 
 # Bits of the identity of a process.
 _IDENTITY_BITS = 48
-# Instance of a backend server, and the Unix time of its start in milliseconds.
-Incarnation = tuple[str, int]
 
 
 @final
--- a/testing/fleet/knowledge/test_registry_conflicts.py
+++ b/testing/fleet/knowledge/test_registry_conflicts.py
@@ -139,6 +139,40 @@
     run(scenario)
 
 
+# Each one cost the server three of its heartbeats.
+def test_repeated_false_heartbeats_and_leaves_take_a_server_out_once() -> None:
+    async def scenario(running: RunningRegistry) -> None:
+        beat_on(running, 1, 2)
+        beat(running, FOREIGN)
+        beat_on(running, 3, 4, 5)
+        for sequence in range(6, 20):
+            false = replace(FOREIGN, born_ms=10**6 * sequence)
+            beat(running, false)
+            leave = Leave("i-other", false.born_ms, 1, Phase.GONE)
+            running.inbox.tell(Deregistered(leave, Reply()))
+            known = state_of(running)
+            assert known is not None
+            assert known.instance == "i-1"
+            beat_on(running, sequence)
+        told_sequences = [m.server.sequence for m in told(running)]
+        assert told_sequences[-14:] == list(range(6, 20))
+
+    run(scenario)
+
+
+def test_restart_after_a_restated_start_is_in_force_with_its_second_heartbeat() -> None:
+    async def scenario(running: RunningRegistry) -> None:
+        beat_on(running, 1, 2)
+        beat(running, FOREIGN)
+        beat_on(running, 3, 4, 5)
+        beat_on(running, 1, 2, instance="i-2", born_ms=50_000)
+        known = state_of(running)
+        assert known is not None
+        assert (known.instance, known.sequence) == ("i-2", 2)
+
+    run(scenario)
+
+
 # DRAIN: the leave named a start that was not the restated one.
 @pytest.mark.parametrize("by_heartbeat", [False, True])
 def test_leave_of_a_restated_server_takes_it_out(by_heartbeat: bool) -> None:
