The trailer of a request was a header of the next one on the platform

A header that a client sent as a trailer reached the backend server with the next request of its connection; behind a proxy that shares connections it may be another user's.

Cause: the parser of requests keeps the last line of a chunked body's trailer until the next head, and was given body and next head in one call. Change: request_framing.py finds the ends of heads and bodies, of any framing and in any segments; the parser gets one of them at a time, and is replaced behind a chunked body. If it has paused within the body, what is behind it waits. Where the parser and the framing don't agree on the end of a body, the request is rejected. The end of a head that lies in two segments is found as well.

--- a/src/_masticspoke/http_server_connection.py
+++ b/src/_masticspoke/http_server_connection.py
@@ -12,6 +12,7 @@
 from aiohttp import EMPTY_PAYLOAD
 from aiohttp import StreamReader
 from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import BadHttpMessage
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpRequestParser
 from loguru import logger
@@ -41,6 +42,8 @@
 from _masticspoke.http_messages import Streamed
 from _masticspoke.http_pipeline import Exchange
 from _masticspoke.http_pipeline import Pipeline
+from _masticspoke.request_framing import BodyFraming
+from _masticspoke.request_framing import HeadFraming
 
 if TYPE_CHECKING:
     from _masticspoke.http_server import HttpServer
@@ -59,7 +62,6 @@
 # Answers with these statuses never have a body.
 _BODILESS_STATUSES = frozenset({204, 304})
 _CHUNKED = ("Transfer-Encoding", "chunked")
-_HEAD_END = b"\r\n\r\n"
 _RESPONSE_BY_ERROR: Mapping[type[Exception], Response] = {
     BodyTooLongError: Response(413),
     NoBodyMemoryError: Response(503),
@@ -79,7 +81,10 @@
     __slots__ = (
         "__weakref__",
         "_client_wait",
+        "_framing",
         "_handler",
+        "_head_framing",
+        "_held_data",
         "_is_lingering",
         "_is_pipelined",
         "_last_content",
@@ -96,14 +101,12 @@
         loop = asyncio.get_running_loop()
         super().__init__(loop)
         # The base class pauses ``_parser``, whose declared type is wider.
-        self._request_parser = self._parser = HttpRequestParser(
-            self,
-            loop,
-            READ_BUFFER_BYTES,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            auto_decompress=False,
-        )
+        self._request_parser = self._parser = self._new_parser()
+        self._head_framing = HeadFraming()
+        # Of the body that arrives; ``None`` while a head does.
+        self._framing: BodyFraming | None = None
+        # Arrived behind a body that the parser has not taken yet.
+        self._held_data = b""
         self._server = server
         self._handler = handler
         self._pipeline = Pipeline(
@@ -121,6 +124,16 @@
         self._received_bytes = 0
         self._client_wait = ClientWait(loop.time())
 
+    def _new_parser(self) -> HttpRequestParser:
+        return HttpRequestParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            auto_decompress=False,
+        )
+
     @property
     def remote(self) -> str:
         """IP address of the client; empty once the connection is closed."""
@@ -170,29 +183,50 @@
     def _parse(self, data: bytes) -> None:
         """Parse data and queue its requests.
 
-        The parser gets one head at a time: when it raises an error, such as for data
-        behind a request that closes the connection, it drops what it found in the same
-        call.
+        The parser gets one head or body at a time: when it raises an error, such as for
+        data behind a request that closes the connection, it drops what it found in the
+        same call. It puts the last line of a trailer into the next head, so that a
+        chunked body is followed by another parser.
         """
+        data, self._held_data = self._held_data + data, b""
         start, length = 0, len(data)
         while not self._stopped_parsing:
-            end = length
-            begins_head = self._last_content.is_eof()
-            if begins_head:
-                end = data.find(_HEAD_END, start) + len(_HEAD_END)
-                end = length if end < len(_HEAD_END) else end
-            part = data if end - start == length else data[start:end]
-            messages, self._stopped_parsing, _ = self._request_parser.feed_data(part)
-            for head, content in messages:
-                self._pipeline.append(Exchange(head, content, self._server.bodies))
-                self._last_content = content
-            if messages:
-                received_head(self._client_wait)
-            elif begins_head:
-                received_part_of_head(self._client_wait, part, self._loop.time())
-            if end == length:
-                return
+            framing = self._framing
+            found = (framing or self._head_framing).end_in(data, start)
+            end = length if found is None else found
+            self._parse_part(data if end - start == length else data[start:end])
             start = end
+            if framing is not None and found is not None:
+                self._end_body(framing)
+                if self._framing is not None:
+                    self._held_data = data[start:]
+                    return
+            if start == length:
+                return
+
+    def _parse_part(self, part: bytes) -> None:
+        messages, self._stopped_parsing, _ = self._request_parser.feed_data(part)
+        for head, content in messages:
+            self._pipeline.append(Exchange(head, content, self._server.bodies))
+            self._last_content = content
+            if not content.is_eof():
+                self._framing = BodyFraming(head)
+        if messages:
+            received_head(self._client_wait)
+        elif self._framing is None:
+            received_part_of_head(self._client_wait, part, self._loop.time())
+
+    def _end_body(self, framing: BodyFraming) -> None:
+        """Prepare for the next head, unless the parser has paused within the body.
+
+        :raises HttpProcessingError: if the parser expects more of the body.
+        """
+        if self._last_content.is_eof():
+            self._framing = None
+            if framing.is_chunked:
+                self._request_parser = self._parser = self._new_parser()
+        elif not self._reading_paused:
+            raise BadHttpMessage("the end of the body is not clear")
 
     def _reject_malformed(self, error: HttpProcessingError) -> None:
         logger.debug("malformed HTTP request: {!r}", error)
