States that lag behind are no conflicts; a leave outlives an earlier start

Cause: a peer that still stated the start before was logged as another writer; three late heartbeats of an earlier start under the same id could have undone a leave (DRAIN); a ready server without a service counted as named. Change: only a later start is a conflict, or another one in the log; a heartbeat of the same id never changes the phase; no service is no name. Result: three new cases of test_registry_conflicts.py.

--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -354,10 +354,7 @@
 
 def _use_named_states(state: RegistryTask, now: float) -> None:
     """Merge the states that were held back, if the configuration names them now."""
-    named = registry_conflicts.take_named(state)
-    for server in _merge_servers(state, named, "configuration", now):
-        if server.address == state.backend_address and server.phase is not Phase.READY:
-            _inform_gate(state, server)
+    _merge_servers(state, registry_conflicts.take_named(state), "configuration", now)
 
 
 def _peers_asked(state: RegistryTask, message: PeersAsked, now: float) -> None:
--- a/src/_masticspoke/fleet/knowledge/registry_conflicts.py
+++ b/src/_masticspoke/fleet/knowledge/registry_conflicts.py
@@ -15,6 +15,7 @@
 from _masticspoke.decisions.fleet.leaving import Leave
 from _masticspoke.decisions.fleet.log_rate_limit import Importance
 from _masticspoke.decisions.fleet.model import BackendServer
+from _masticspoke.decisions.fleet.model import Phase
 from _masticspoke.decisions.fleet.suspects import Incarnation
 from _masticspoke.events import Event
 from _masticspoke.fleet.knowledge.messages import Unsaved
@@ -42,6 +43,10 @@
     return Incarnation(server.address, server.instance, server.born_ms)
 
 
+def _is_same_start(first: BackendServer, second: BackendServer) -> bool:
+    return first.instance == second.instance and first.born_ms == second.born_ms
+
+
 def may_merge(state: RegistryTask, server: BackendServer) -> bool:
     """Return whether the names of services allow that a state is merged.
 
@@ -49,7 +54,7 @@
     may be named by a version that was not read yet.
     """
     known = state.registry.members.by_address.get(server.address)
-    if known is None or incarnation_of(known) == incarnation_of(server):
+    if known is None or _is_same_start(known, server):
         return True
     return _is_named(state, server) or not _is_named(state, known)
 
@@ -57,12 +62,14 @@
 def _is_named(state: RegistryTask, server: BackendServer) -> bool:
     """Return whether the configuration or the settings name the service of a server.
 
-    All services count as named until a configuration is in force, and so does an empty
-    one: it stands in the states of servers of which only the leave is known.
+    All services count as named until a configuration is in force. No service stands in
+    the states of servers of which only the leave is known.
     """
     configuration = state.port.configuration.value
-    if configuration is None or not configuration.services or not server.service:
+    if configuration is None or not configuration.services:
         return True
+    if not server.service:
+        return server.phase is not Phase.READY
     is_own = server.address == state.backend_address and (
         server.service == state.port.local_service.value
     )
@@ -70,19 +77,21 @@
 
 
 def forget_unnamed(state: RegistryTask, server: BackendServer) -> None:
-    """Hold back the known state at an address if only it has an unnamed service.
+    """Forget the state at the address of a server if only it has an unnamed service.
 
-    Its start may be later than that of the server that can be used.
+    Its start may be later than that of the server, which is merged next. It is held
+    back, unless the local backend server's own heartbeats tell.
     """
     known = state.registry.members.by_address.get(server.address)
     if (
         known is not None
-        and incarnation_of(known) != incarnation_of(server)
+        and not _is_same_start(known, server)
         and _is_named(state, server)
         and not _is_named(state, known)
     ):
         members.remove(state.registry.members, server.address)
-        hold_back(state, known, "earlier")
+        if server.address != state.backend_address:
+            hold_back(state, known, "earlier")
 
 
 def refuse(
@@ -176,7 +185,7 @@
     """
     registry_state = state.registry
     known = registry_state.members.by_address.get(state.backend_address)
-    if known is None or incarnation_of(known) == incarnation_of(heartbeat):
+    if known is None or _is_same_start(known, heartbeat):
         return False
     if not _has_been_restated(registry_state) or not _is_present(registry_state, now):
         return False
@@ -215,15 +224,12 @@
 ) -> BackendServer | None:
     """Return the state to be merged if the sender of an older heartbeat is there.
 
-    A leave of the same incarnation is never undone: its heartbeat may have been sent
+    A leave of the same instance is never undone: the heartbeat may have been sent
     before.
 
     :param heartbeat: state as the server itself names it.
     """
-    same = incarnation_of(with_restated_start(state, heartbeat)) == (
-        incarnation_of(known)
-    )
-    if same and heartbeat.phase is not known.phase:
+    if heartbeat.instance == known.instance and heartbeat.phase is not known.phase:
         return None
     rival = rivals.after_heartbeat(state.registry.rival, heartbeat, now)
     state.registry.rival = rival
@@ -243,12 +249,14 @@
     registry_state = state.registry
     known = registry_state.members.by_address.get(state.backend_address)
     own = registry_state.own_incarnation
-    if known is None or own is None or incarnation_of(stated) == incarnation_of(known):
+    if known is None or own is None or _is_same_start(stated, known):
         return None
-    refuse(state, stated, source, OTHER_INSTANCE)
+    is_newer = members.is_newer(stated, known)
+    if is_newer or source == LOG_SOURCE:
+        refuse(state, stated, source, OTHER_INSTANCE)
     if not _is_present(registry_state, now):
         return None
-    if members.is_newer(stated, known):
+    if is_newer:
         return _restate(state, known, own, stated, source)
     repaired_s = now - registry_state.repaired_at
     if source == LOG_SOURCE and repaired_s >= MIN_REPAIR_INTERVAL_S:
--- a/testing/fleet/knowledge/test_registry_conflicts.py
+++ b/testing/fleet/knowledge/test_registry_conflicts.py
@@ -205,6 +205,33 @@
     run(scenario)
 
 
+# DRAIN: the same, where the server had started again under its id.
+def test_late_heartbeats_of_an_earlier_start_do_not_undo_a_leave() -> None:
+    async def scenario(running: RunningRegistry) -> None:
+        beat_on(running, 1, born_ms=5_000)
+        beat_on(running, 2, born_ms=5_000, phase=Phase.LEAVING)
+        beat_on(running, 2, 3, 4, 5, 6, born_ms=1_000)
+        known = state_of(running)
+        assert known is not None
+        assert known.phase is Phase.LEAVING
+
+    run(scenario)
+
+
+# A peer that lags behind states the start before.
+def test_earlier_start_that_a_peer_states_is_no_conflict() -> None:
+    async def scenario(running: RunningRegistry) -> None:
+        beat_on(running, 1, 2, born_ms=5_000)
+        earlier = server(instance="i-0", born_ms=500)
+        running.inbox.tell(ServersReceived((earlier,), "peer 10.0.0.2"))
+        assert not running.events(Event.STATE_REFUSED)
+        assert running.unsaved.receive_nowait()[-1].entry == server(
+            sequence=1, born_ms=5_000
+        )
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("gap_s", [0.0, 0.2])
 def test_heartbeats_that_were_held_up_together_do_not_count_as_three(
     gap_s: float,
@@ -295,6 +322,18 @@
     run(scenario)
 
 
+def test_server_without_a_service_replaces_none_unless_it_has_left() -> None:
+    async def scenario(running: RunningRegistry) -> None:
+        nameless = server(2, service="", instance="i-9", born_ms=9_000)
+        running.inbox.tell(ServersReceived((server(2), nameless), "log"))
+        assert state_of(running, 2) == server(2)
+        left = replace(nameless, phase=Phase.GONE)
+        running.inbox.tell(ServersReceived((left,), "log"))
+        assert state_of(running, 2) == left
+
+    run(scenario)
+
+
 def test_server_is_used_that_was_replaced_before_a_configuration_was_known() -> None:
     async def main() -> None:
         running = await started()
