--- a/src/_masticspoke/fleet/knowledge/registry.py
+++ b/src/_masticspoke/fleet/knowledge/registry.py
@@ -239,10 +239,8 @@
     for server in message.servers:
         if server.address == state.backend_address:
             accepted += _local_states(state, server, message.source, now)
-        elif registry_conflicts.may_merge(state, server):
-            accepted.append(server)
         else:
-            registry_conflicts.hold_back(state, server, message.source)
+            accepted.append(server)
     for server in _merge_servers(state, tuple(accepted), message.source, now):
         if server.address == state.backend_address and server.phase is not Phase.READY:
             _inform_gate(state, server)
@@ -286,9 +284,13 @@
 def _merge_servers(
     state: RegistryTask, servers: tuple[BackendServer, ...], source: str, now: float
 ) -> tuple[BackendServer, ...]:
+    changed: list[BackendServer] = []
     for server in servers:
-        registry_conflicts.forget_unnamed(state, server)
-    changed = tuple(members.merge(state.registry.members, servers))
+        if registry_conflicts.may_merge(state, server):
+            registry_conflicts.forget_unnamed(state, server)
+            changed += members.merge(state.registry.members, (server,))
+        else:
+            registry_conflicts.hold_back(state, server, source)
     for server in changed:
         state.registry.changed_at[server.address] = now
         state.registry.change += 1
@@ -297,8 +299,8 @@
             EventRecord(Event.SERVER_CHANGED, _server_fields(server, source))
         )
     if changed:
-        _send_servers(state, changed)
-    return changed
+        _send_servers(state, tuple(changed))
+    return tuple(changed)
 
 
 def _server_fields(server: BackendServer, source: str) -> dict[str, object]:
--- a/src/_masticspoke/fleet/knowledge/registry_conflicts.py
+++ b/src/_masticspoke/fleet/knowledge/registry_conflicts.py
@@ -79,8 +79,7 @@
 def forget_unnamed(state: RegistryTask, server: BackendServer) -> None:
     """Forget the state at the address of a server if only it has an unnamed service.
 
-    Its start may be later than that of the server, which is merged next. It is held
-    back, unless the local backend server's own heartbeats tell.
+    Its start may be later than that of the server, which is merged next.
     """
     known = state.registry.members.by_address.get(server.address)
     if (
@@ -90,8 +89,7 @@
         and not _is_named(state, known)
     ):
         members.remove(state.registry.members, server.address)
-        if server.address != state.backend_address:
-            hold_back(state, known, "earlier")
+        hold_back(state, known, "earlier")
 
 
 def refuse(
@@ -113,14 +111,18 @@
 
 
 def hold_back(state: RegistryTask, server: BackendServer, source: str) -> None:
-    """Keep a state whose service may be named by a version that was not read yet."""
+    """Keep a state whose service may be named by a version that was not read yet.
+
+    That of the local backend server is not kept: its heartbeats tell it again.
+    """
     held = state.registry.held_states
     known = held.get(server.address)
     if not members.is_newer(server, known):
         return
     if known is None or members.must_propagate(server, known):
         refuse(state, server, source, UNNAMED_SERVICE)
-    if known is not None or len(held) < MAX_HELD:
+    is_local = server.address == state.backend_address
+    if not is_local and (known is not None or len(held) < MAX_HELD):
         held[server.address] = server
 
 
