A leave under another start is not acknowledged while the server is in use (DRAIN)

A heartbeat that reported draining was acknowledged though it was not merged, and the server went on to get requests.

Cause: any heartbeat of a leaving server was acknowledged once the log was written, whether or not it was in force. Change: while the same instance is in use under another start, its leave is not acknowledged; the third heartbeat that repeats it takes the server out. Open: a deregistration in that time is acknowledged as before, as one of an earlier start has to be.

--- a/src/_masticspoke/fleet/knowledge/registry_conflicts.py
+++ b/src/_masticspoke/fleet/knowledge/registry_conflicts.py
@@ -209,6 +209,15 @@
     )
 
 
+def is_leave_unknown(known: BackendServer, instance: str, phase: Phase) -> bool:
+    """Return whether an instance that leaves is still in use under another start.
+
+    Its leave then is not in force, and must not be acknowledged. That of an earlier
+    start under its id, which comes late, is not told apart.
+    """
+    return known.instance == instance and known.phase < phase
+
+
 def _has_been_restated(registry_state: RegistryState) -> bool:
     return registry_state.own_incarnation in registry_state.restated
 
@@ -226,12 +235,11 @@
 ) -> BackendServer | None:
     """Return the state to be merged if the sender of an older heartbeat is there.
 
-    A leave of the same instance is never undone: the heartbeat may have been sent
-    before.
+    A leave of the same instance is never undone: the heartbeat may be of before it.
 
     :param heartbeat: state as the server itself names it.
     """
-    if heartbeat.instance == known.instance and heartbeat.phase is not known.phase:
+    if heartbeat.instance == known.instance and heartbeat.phase < known.phase:
         return None
     rival = rivals.after_heartbeat(state.registry.rival, heartbeat, now)
     state.registry.rival = rival
--- a/src/_masticspoke/fleet/knowledge/registry_servers.py
+++ b/src/_masticspoke/fleet/knowledge/registry_servers.py
@@ -54,6 +54,10 @@
         state.port.unsaved.tell(Unsaved(server))
     if message.server.phase is Phase.READY:
         message.reply.answer(True)
+    elif registry_conflicts.is_leave_unknown(
+        local_server, heartbeat.instance, heartbeat.phase
+    ):
+        message.reply.answer(False)
     else:
         _answer_when_saved(state, message.reply)
 
--- a/testing/fleet/knowledge/test_registry_conflicts.py
+++ b/testing/fleet/knowledge/test_registry_conflicts.py
@@ -366,6 +366,26 @@
     run(scenario)
 
 
+# DRAIN: the leave was acknowledged, and the server went on to get requests.
+def test_leave_of_a_start_that_a_restarted_node_does_not_know_is_not_acknowledged() -> (
+    None
+):
+    async def main() -> None:
+        running = await started()
+        configure(running, 1, "desk")
+        running.inbox.tell(ServersReceived((server(born_ms=9_001),), "log"))
+        reply: Reply[bool] = Reply()
+        beat(running, server(sequence=7, phase=Phase.LEAVING), reply)
+        assert not await reply.value()
+        beat_on(running, 8, 9, phase=Phase.LEAVING)
+        known = state_of(running)
+        assert known is not None
+        assert known.phase is Phase.LEAVING
+        running.task.cancel()
+
+    asyncio.run(main())
+
+
 def unsaved(running: RunningRegistry) -> list[Unsaved]:
     messages = running.unsaved.receive_nowait()
     return [m for m in messages if m.entry is not None]
