A second false state is not answered with the first one

Found in the last reading of the change: where a false leave was known and another false state came from the log, the node gave the false instance the start that replaces the second one, and took the server's own heartbeats for its.

Cause: a node contradicted with whatever state it knew. Change: only the state of the instance that sends heartbeats contradicts.

--- a/src/_masticspoke/fleet/knowledge/registry_conflicts.py
+++ b/src/_masticspoke/fleet/knowledge/registry_conflicts.py
@@ -212,8 +212,8 @@
 def is_leave_unknown(known: BackendServer, instance: str, phase: Phase) -> bool:
     """Return whether an instance that leaves is still in use under another start.
 
-    Its leave then is not in force, and must not be acknowledged. That of an earlier
-    start under its id, which comes late, is not told apart.
+    Its leave then is not in force, and must not be acknowledged. A late one of an
+    earlier start under its id looks the same.
     """
     return known.instance == instance and known.phase < phase
 
@@ -264,7 +264,7 @@
     is_newer = members.is_newer(stated, known)
     if is_newer or source == LOG_SOURCE:
         refuse(state, stated, source, OTHER_INSTANCE)
-    if not _is_present(registry_state, now):
+    if known.instance != own.instance or not _is_present(registry_state, now):
         return None
     if is_newer:
         return _restate(state, known, own, stated, source)
--- a/testing/fleet/knowledge/test_registry_conflicts.py
+++ b/testing/fleet/knowledge/test_registry_conflicts.py
@@ -283,6 +283,23 @@
     run(scenario)
 
 
+# The start of the server was given to the false instance that was known meanwhile.
+def test_second_false_state_is_not_answered_with_the_first_one() -> None:
+    async def scenario(running: RunningRegistry) -> None:
+        beat_on(running, 1, 2)
+        leave = Leave("i-foreign", 9_000, 1, Phase.GONE)
+        running.inbox.tell(Deregistered(leave, Reply()))
+        later = server(instance="i-third", born_ms=20_000)
+        running.inbox.tell(ServersReceived((later,), "log"))
+        assert not running.events(Event.STATE_RESTATED)
+        beat_on(running, 3, 4, 5)
+        known = state_of(running)
+        assert known is not None
+        assert (known.instance, known.phase) == ("i-1", Phase.READY)
+
+    run(scenario)
+
+
 # A node that starts reads only the newest entry of each server.
 def test_false_entry_with_an_early_start_is_replaced_in_the_log() -> None:
     async def scenario(running: RunningRegistry) -> None:
