An extension of a chunk without end filled the memory

Cause: the bytes of a line between chunks were kept until its end, and the parser sets no limit to a chunk's extension. Change: 64 bytes of a line are kept, which is more than its size has digits.

--- a/src/_masticspoke/request_framing.py
+++ b/src/_masticspoke/request_framing.py
@@ -11,8 +11,9 @@
 from aiohttp import hdrs
 from aiohttp.http_parser import RawRequestMessage
 
-# Longest line of a chunk's size or of a trailer; the parser accepts no longer one.
-_MAX_LINE_BYTES = 65_536
+# Bytes that are kept of a line between chunks: more than its size has digits. An
+# extension or a trailer may be long, and arrive in many parts.
+_KEPT_BYTES = 64
 _LINE_END = b"\r\n"
 _HEAD_END = b"\r\n\r\n"
 _SEAM_BYTES = len(_HEAD_END) - 1
@@ -40,7 +41,8 @@
         found = data.find(_HEAD_END, start)
         if found >= 0:
             return found + len(_HEAD_END)
-        self._seam = (seam + data[start:][-_SEAM_BYTES:])[-_SEAM_BYTES:]
+        last = data[max(start, len(data) - _SEAM_BYTES) :]
+        self._seam = (seam + last)[-_SEAM_BYTES:]
         return None
 
 
@@ -85,17 +87,20 @@
             if not self._is_chunked:
                 break
             end = data.find(b"\n", start) + 1
+            line = self._line + data[start : min(end or len(data), start + _KEPT_BYTES)]
+            self._line = b"" if end else line[:_KEPT_BYTES]
             if not end:
-                self._line += data[start : start + _MAX_LINE_BYTES]
                 return None
-            line, self._line = self._line + data[start:end], b""
             start = end
-            self._has_ended = self._ends_with(line)
+            self._has_ended = self._ends_with(line[:_KEPT_BYTES])
         self._has_ended = True
         return start
 
     def _ends_with(self, line: bytes) -> bool:
-        """Return whether a line between chunks ends the body."""
+        """Return whether a line between chunks ends the body.
+
+        :param line: its first bytes.
+        """
         if self._in_trailer:
             return line in (_LINE_END, b"\n")
         try:
--- a/testing/test_request_framing.py
+++ b/testing/test_request_framing.py
@@ -1,14 +1,18 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 from random import Random
 
 import pytest
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_parser import HttpRequestParser
 
 from _masticspoke.decisions.fleet.model import Limits
 from _masticspoke.http_server import HttpServer
 from _masticspoke.http_server import Request
 from _masticspoke.http_server import Response
+from _masticspoke.request_framing import BodyFraming
 
 HOST = b"Host: h\r\n"
 _TIMEOUT_S = 5.0
@@ -115,3 +119,36 @@
 
     assert b"HTTP/1.1 400" in received
     assert "/last" not in {path for path, _ in seen}
+
+
+# An extension without end filled the memory.
+@pytest.mark.parametrize("begin", [b"1;", b"0\r\nX-Trailer: "])
+def test_line_without_end_is_not_kept(begin: bytes) -> None:
+    head = b"POST /p HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+    framing = asyncio.run(_framing_of(head))
+    assert framing.end_in(begin, 0) is None
+    tracemalloc.start()
+    for _ in range(20):
+        assert framing.end_in(b"e" * 1_000_000, 0) is None
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept < 10_000
+
+
+@pytest.mark.parametrize("length", [1, 63, 64, 65, 200])
+@pytest.mark.parametrize("cut", [0, 1, 30, 64, 70])
+def test_long_extension_and_trailer_end_with_their_lines(length: int, cut: int) -> None:
+    chunk = b"1;" + b"e" * length + b"\r\na\r\n"
+    data = chunk + b"0\r\nX: " + b"t" * length + b"\r\n\r\n" + _LAST
+    head = b"POST /p HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+    received, _ = asyncio.run(answers(head, data[:cut], data[cut:]))
+
+    assert b"<a>" in received
+    assert received.count(b"HTTP/1.1 200 OK") == 2
+
+
+async def _framing_of(head: bytes) -> BodyFraming:
+    loop = asyncio.get_running_loop()
+    parser = HttpRequestParser(BaseProtocol(loop), loop, 65_536)
+    ((message, _),), _, _ = parser.feed_data(head)
+    return BodyFraming(message)
